--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin runs small fakes of the platform, workers and upstream runners.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/work/descriptor/resource.go
@@ -0,0 +1,69 @@
+package descriptor
+
+// Resources is an amount of worker capacity. The zero value is nothing.
+type Resources struct {
+	// MilliCPU is processor time in thousandths of a core.
+	MilliCPU int64
+	// MemoryBytes is main memory.
+	MemoryBytes int64
+	// Accelerators counts whole accelerator devices.
+	Accelerators int64
+}
+
+// Add returns the sum of both amounts.
+func (resources Resources) Add(other Resources) Resources {
+	return Resources{
+		MilliCPU:     resources.MilliCPU + other.MilliCPU,
+		MemoryBytes:  resources.MemoryBytes + other.MemoryBytes,
+		Accelerators: resources.Accelerators + other.Accelerators,
+	}
+}
+
+// Sub returns resources less other. Components may become negative.
+func (resources Resources) Sub(other Resources) Resources {
+	return Resources{
+		MilliCPU:     resources.MilliCPU - other.MilliCPU,
+		MemoryBytes:  resources.MemoryBytes - other.MemoryBytes,
+		Accelerators: resources.Accelerators - other.Accelerators,
+	}
+}
+
+// Scale returns resources multiplied by count.
+func (resources Resources) Scale(count int64) Resources {
+	return Resources{
+		MilliCPU:     resources.MilliCPU * count,
+		MemoryBytes:  resources.MemoryBytes * count,
+		Accelerators: resources.Accelerators * count,
+	}
+}
+
+// Fits reports whether resources can be taken from capacity.
+func (resources Resources) Fits(capacity Resources) bool {
+	return resources.MilliCPU <= capacity.MilliCPU &&
+		resources.MemoryBytes <= capacity.MemoryBytes &&
+		resources.Accelerators <= capacity.Accelerators
+}
+
+// Negative reports whether any component is below zero.
+func (resources Resources) Negative() bool {
+	return resources.MilliCPU < 0 || resources.MemoryBytes < 0 || resources.Accelerators < 0
+}
+
+// DominantShare returns the largest fraction that resources take of capacity.
+// A component that capacity lacks counts as 1 when it is asked for.
+func (resources Resources) DominantShare(capacity Resources) float64 {
+	share := fraction(resources.MilliCPU, capacity.MilliCPU)
+	share = max(share, fraction(resources.MemoryBytes, capacity.MemoryBytes))
+	return max(share, fraction(resources.Accelerators, capacity.Accelerators))
+}
+
+func fraction(part, whole int64) float64 {
+	switch {
+	case part <= 0:
+		return 0
+	case whole <= 0:
+		return 1
+	default:
+		return float64(part) / float64(whole)
+	}
+}
