--- a/internal/work/selector/selector.go
+++ b/internal/work/selector/selector.go
@@ -220,6 +220,32 @@
 	}
 }
 
+// Admits reports whether labels could meet all requirements when only the keys in known are decided
+// by labels and every other label may have any value.
+func (selector Selector) Admits(labels descriptor.Labels, known ...string) bool {
+	for _, requirement := range selector.requirements {
+		if slices.Contains(known, key(requirement)) && !matches(requirement, labels) {
+			return false
+		}
+	}
+	return true
+}
+
+func key(requirement Requirement) string {
+	switch requirement := requirement.(type) {
+	case In:
+		return requirement.Key
+	case NotIn:
+		return requirement.Key
+	case Present:
+		return requirement.Key
+	case Absent:
+		return requirement.Key
+	default:
+		return ""
+	}
+}
+
 // Empty reports whether the selector matches everything.
 func (selector Selector) Empty() bool {
 	return len(selector.requirements) == 0
