--- /dev/null
+++ b/internal/local/planner/planner.go
@@ -0,0 +1,317 @@
+// Package planner reads the file of a local run and turns it into a schedule of jobs and requests.
+// Equal files give equal schedules.
+package planner
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Limits of a local run, which has to fit one machine.
+const (
+	MaxEntries  = 32
+	MaxWorkers  = 500
+	MaxRunners  = 200
+	MaxDuration = 50 * time.Second
+	MaxItems    = 100_000
+)
+
+// Scenario is the content of the file of a local run.
+type Scenario struct {
+	Name string
+	// Seed fixes all random choices.
+	Seed uint64
+	// Duration is how long jobs and requests are sent.
+	Duration descriptor.Duration
+	// Settle bounds how long the run waits for fates afterwards.
+	Settle  descriptor.Duration
+	Sites   []Site
+	Latency Latency
+	// Entries is the number of entry instances, distributed evenly over the sites.
+	Entries int
+	Workers Workers
+	Runners Runners
+	// Config is applied before the first job.
+	Config   parser.Config
+	Jobs     []JobLine
+	Requests []RequestLine
+}
+
+// Site is a data centre.
+type Site struct {
+	Region string
+	Site   string
+}
+
+// Latency holds one-way delays.
+type Latency struct {
+	// Site is between instances of one region.
+	Site descriptor.Duration
+	// Region is between regions.
+	Region descriptor.Duration
+	// Client is between callers and entry instances.
+	Client descriptor.Duration
+}
+
+// Workers describes the equal workers of the cell.
+type Workers struct {
+	Count    int
+	Capacity descriptor.Resources
+	PerRack  int
+	// Faulty is the number of workers that fail every task.
+	Faulty int
+	// Accelerated is the number of workers that have Accelerators devices each.
+	Accelerated  int
+	Accelerators int64
+}
+
+// Runners describes the upstream runners.
+type Runners struct {
+	Service     string
+	Count       int
+	Slots       int
+	Connections int
+}
+
+// JobLine is a group of equal jobs.
+type JobLine struct {
+	// Count is the number of jobs.
+	Count int
+	// From and Over give the time span in which they are submitted.
+	From descriptor.Duration
+	Over descriptor.Duration
+	// DeadlineAfter is added to the time of submission; 0 means no deadline.
+	DeadlineAfter descriptor.Duration
+	// CancelAfter cancels CancelCount of the jobs that long after their submission.
+	CancelAfter descriptor.Duration
+	CancelCount int
+	// Callers is the number of callers that submit in turn.
+	Callers int
+	// Twice submits each job a second time at another instance under the same key.
+	Twice bool
+	Job   descriptor.Job
+	// Real is what the tasks really do; it is put into the payload.
+	Real Real
+	// Stragglers is the number of jobs whose tasks run StragglerFactor times as long.
+	Stragglers      int
+	StragglerFactor int
+	// Impossible marks jobs that the cell can never run: a refusal is the expected answer.
+	Impossible bool
+}
+
+// Real is how tasks behave, which may differ from what is declared.
+type Real struct {
+	RunTime descriptor.Duration
+	Use     descriptor.Resources
+}
+
+// RequestLine is a stream of interactive requests.
+type RequestLine struct {
+	Name string
+	From descriptor.Duration
+	For  descriptor.Duration
+	// Rate is requests per second. It is multiplied by CrestFactor between CrestFrom and CrestTo.
+	Rate        float64
+	CrestFrom   descriptor.Duration
+	CrestTo     descriptor.Duration
+	CrestFactor float64
+	Caller      string
+	Callers     int
+	Labels      descriptor.Labels
+	Idempotent  bool
+	ServiceTime descriptor.Duration
+	// StragglerShare is the part of requests that take StragglerFactor times as long.
+	StragglerShare  float64
+	StragglerFactor float64
+	Timeout         descriptor.Duration
+	// AnswerBytes is the length of the echoed text.
+	AnswerBytes int
+}
+
+// Submission is one job of the schedule.
+type Submission struct {
+	At          time.Duration
+	CancelAfter time.Duration
+	Deadline    time.Duration
+	Twice       bool
+	Impossible  bool
+	Line        int
+	Job         descriptor.Job
+}
+
+// Call is one request of the schedule.
+type Call struct {
+	At          time.Duration
+	Line        int
+	Caller      string
+	Key         string
+	Site        int
+	ServiceTime time.Duration
+}
+
+// Schedule is what a scenario comes to, in the order of time.
+type Schedule struct {
+	Submissions []Submission
+	Calls       []Call
+}
+
+// ErrScenario is wrapped by all errors of Parse.
+var ErrScenario = errors.New("local run")
+
+// Parse reads and checks a scenario.
+func Parse(document []byte) (Scenario, error) {
+	var scenario Scenario
+	decoder := json.NewDecoder(bytes.NewReader(document))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&scenario); err != nil {
+		return Scenario{}, errors.Wrap(ErrScenario, err.Error())
+	}
+	scenario.setDefaults()
+	if faults := scenario.check(); len(faults) > 0 {
+		return Scenario{}, errors.Wrap(errors.Join(faults...), ErrScenario.Error())
+	}
+	return scenario, nil
+}
+
+func (scenario *Scenario) setDefaults() {
+	scenario.Entries = cmp.Or(scenario.Entries, 8)
+	scenario.Workers.PerRack = cmp.Or(scenario.Workers.PerRack, 8)
+	scenario.Runners.Slots = cmp.Or(scenario.Runners.Slots, 8)
+	scenario.Runners.Connections = cmp.Or(scenario.Runners.Connections, 64)
+	scenario.Settle.Duration = cmp.Or(scenario.Settle.Duration, 20*time.Second)
+	scenario.Duration.Duration = cmp.Or(scenario.Duration.Duration, 20*time.Second)
+}
+
+func (scenario *Scenario) check() []error {
+	var faults []error
+	limit := func(field string, value, lowest, highest int) {
+		if value < lowest || value > highest {
+			faults = append(faults, &descriptor.FieldError{
+				Field:  field,
+				Reason: fmt.Sprintf("must be between %d and %d", lowest, highest),
+			})
+		}
+	}
+	limit("Sites", len(scenario.Sites), 1, 10)
+	limit("Entries", scenario.Entries, 1, MaxEntries)
+	limit("Workers.Count", scenario.Workers.Count, 1, MaxWorkers)
+	limit("Runners.Count", scenario.Runners.Count, 0, MaxRunners)
+	limit("Duration", int(scenario.Duration.Seconds()), 1, int(MaxDuration.Seconds()))
+	if _, err := parser.Compile(0, scenario.Config); err != nil {
+		faults = append(faults, errors.Wrap(err, "Config"))
+	}
+	items := 0
+	for i, line := range scenario.Jobs {
+		items += line.Count
+		if err := line.Job.Validate(); err != nil {
+			faults = append(faults, errors.Wrapf(err, "Jobs[%d].Job", i))
+		}
+	}
+	for _, line := range scenario.Requests {
+		items += int(line.Rate * line.For.Seconds() * max(line.CrestFactor, 1))
+	}
+	limit("Jobs and Requests", items, 0, MaxItems)
+	return faults
+}
+
+// Plan returns the schedule of the scenario.
+func (scenario *Scenario) Plan() (Schedule, error) {
+	random := rand.New(rand.NewPCG(scenario.Seed, scenario.Seed))
+	var schedule Schedule
+	for i := range scenario.Jobs {
+		submissions, err := scenario.planJobs(random, i)
+		if err != nil {
+			return Schedule{}, err
+		}
+		schedule.Submissions = append(schedule.Submissions, submissions...)
+	}
+	for i := range scenario.Requests {
+		schedule.Calls = append(schedule.Calls, scenario.planRequests(random, i)...)
+	}
+	slices.SortStableFunc(schedule.Submissions, func(a, b Submission) int {
+		return cmp.Compare(a.At, b.At)
+	})
+	slices.SortStableFunc(schedule.Calls, func(a, b Call) int {
+		return cmp.Compare(a.At, b.At)
+	})
+	return schedule, nil
+}
+
+// payload is what the worker stand-in reads.
+type payload struct {
+	RunTime descriptor.Duration
+	Use     descriptor.Resources `json:",omitzero"`
+}
+
+func (scenario *Scenario) planJobs(random *rand.Rand, index int) ([]Submission, error) {
+	line := &scenario.Jobs[index]
+	submissions := make([]Submission, 0, line.Count)
+	for i := range line.Count {
+		job := line.Job
+		job.Name = fmt.Sprintf("%s-%d", job.Name, i)
+		job.Caller = fmt.Sprintf("%s-%d", job.Caller, i%max(line.Callers, 1))
+		job.Key = fmt.Sprintf("%s-%d", job.Name, scenario.Seed)
+		real := payload(line.Real)
+		if i < line.Stragglers {
+			real.RunTime.Duration *= time.Duration(line.StragglerFactor)
+		}
+		text, err := json.Marshal(real)
+		if err != nil {
+			return nil, errors.Wrap(ErrScenario, err.Error())
+		}
+		job.Payload = string(text)
+		submission := Submission{
+			At:         line.From.Duration + time.Duration(random.Float64()*float64(line.Over.Duration)),
+			Deadline:   line.DeadlineAfter.Duration,
+			Twice:      line.Twice,
+			Impossible: line.Impossible,
+			Line:       index,
+			Job:        job,
+		}
+		if i >= line.Count-line.CancelCount {
+			submission.CancelAfter = line.CancelAfter.Duration
+		}
+		submissions = append(submissions, submission)
+	}
+	return submissions, nil
+}
+
+// planRequests draws exponential gaps, so that requests come in clusters as real ones do.
+func (scenario *Scenario) planRequests(random *rand.Rand, index int) []Call {
+	line := &scenario.Requests[index]
+	var calls []Call
+	end := line.From.Duration + line.For.Duration
+	for at := line.From.Duration; line.Rate > 0; {
+		rate := line.Rate
+		if line.CrestFactor > 0 && at >= line.CrestFrom.Duration && at < line.CrestTo.Duration {
+			rate *= line.CrestFactor
+		}
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= end {
+			break
+		}
+		serviceTime := line.ServiceTime.Duration
+		if random.Float64() < line.StragglerShare {
+			serviceTime = time.Duration(float64(serviceTime) * line.StragglerFactor)
+		}
+		calls = append(calls, Call{
+			At:          at,
+			Line:        index,
+			Caller:      fmt.Sprintf("%s-%d", line.Caller, random.IntN(max(line.Callers, 1))),
+			Key:         fmt.Sprintf("%s-%d-%d", line.Name, scenario.Seed, len(calls)),
+			Site:        random.IntN(len(scenario.Sites)),
+			ServiceTime: serviceTime,
+		})
+	}
+	return calls
+}
