--- /dev/null
+++ b/internal/standin/keeper/handler.go
@@ -0,0 +1,132 @@
+package keeper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/standin/server"
+)
+
+// bodyLimit has room for a value of the largest size in its JSON form.
+const bodyLimit = 2 * storer.MaxValue
+
+// Handler returns the keeper's HTTP interface.
+func (keeper *Keeper) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Post(storer.Path+"{kind}", keeper.serveStore)
+	router.Group(func(router chi.Router) {
+		router.Use(keeper.refuseList)
+		router.Get("/v1/instances", keeper.serveList)
+		router.Put("/v1/instances/{id}", keeper.serveAnnounce)
+		router.Delete("/v1/instances/{id}", keeper.serveWithdraw)
+	})
+	router.Get("/v1/counts", func(writer http.ResponseWriter, _ *http.Request) {
+		server.Reply(writer, http.StatusOK, keeper.Counts())
+	})
+	router.Get("/v1/faults", func(writer http.ResponseWriter, _ *http.Request) {
+		server.Reply(writer, http.StatusOK, keeper.Faults())
+	})
+	router.Put("/v1/faults", func(writer http.ResponseWriter, request *http.Request) {
+		var faults Faults
+		if !server.Read(writer, request, bodyLimit, &faults) {
+			return
+		}
+		keeper.SetFaults(faults)
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	return router
+}
+
+func (keeper *Keeper) refuseList(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if keeper.Faults().ListDown {
+			http.Error(writer, "instance list is down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (keeper *Keeper) serveStore(writer http.ResponseWriter, request *http.Request) {
+	var call storer.Call
+	if !server.Read(writer, request, bodyLimit, &call) {
+		return
+	}
+	kind := storer.Kind(chi.URLParam(request, "kind"))
+	keeper.count(string(kind))
+	faults := keeper.Faults()
+	if faults.Down {
+		refuse(writer, storer.ErrUnavailable)
+		return
+	}
+	keeper.delay(faults.Slow.Duration)
+	answer, err := keeper.execute(request.Context(), kind, call)
+	if err != nil {
+		refuse(writer, err)
+		return
+	}
+	write := kind == storer.KindPut || kind == storer.KindDelete
+	if write && keeper.takeLoss() {
+		server.Drop()
+	}
+	server.Reply(writer, http.StatusOK, answer)
+}
+
+// delay does not depend on the caller, so that a write takes effect after its caller gave up.
+func (keeper *Keeper) delay(duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-keeper.closed:
+		server.Drop()
+	}
+}
+
+func (keeper *Keeper) execute(ctx context.Context, kind storer.Kind, call storer.Call) (storer.Answer, error) {
+	switch kind {
+	case storer.KindGet:
+		return keeper.get(call.Key)
+	case storer.KindPut:
+		return keeper.put(call)
+	case storer.KindDelete:
+		return keeper.delete(call.Key, call.Version)
+	case storer.KindWatch:
+		return keeper.watch(ctx, call.Key, call.Version)
+	case storer.KindGrant:
+		return keeper.grant(call.TTL)
+	case storer.KindRenew:
+		return keeper.renew(call.Lease)
+	case storer.KindRevoke:
+		return keeper.revoke(call.Lease)
+	default:
+		return storer.Answer{}, errors.Errorf("unknown call %q", kind)
+	}
+}
+
+func refuse(writer http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, storer.ErrConflict):
+		status = http.StatusConflict
+	case errors.Is(err, storer.ErrLeaseExpired):
+		status = http.StatusGone
+	case errors.Is(err, storer.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, storer.ErrUnavailable):
+		status = http.StatusServiceUnavailable
+	}
+	server.Reply(writer, status, storer.Answer{
+		Error: storer.Code(err),
+	})
+}
