--- /dev/null
+++ b/internal/platform/lister/client_test.go
@@ -0,0 +1,61 @@
+package lister_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/standin/keeper"
+)
+
+// TestClient guards against an announced state that does not reach the list, and a list
+// that reads as empty when it is down.
+func TestClient(t *testing.T) {
+	started, stop, err := keeper.Start(keeper.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	client, closeIdle, err := lister.Dial([]netip.AddrPort{started.Address()}, lister.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeIdle()
+	instance := lister.Instance{
+		ID:      "runner-1",
+		Role:    lister.RoleRunner,
+		State:   lister.StateLive,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+	announcer, end := lister.StartAnnouncing(client, instance, 0)
+	defer end()
+	await := func(state lister.State, validator string) string {
+		for {
+			list, err := client.List(t.Context(), validator)
+			if err != nil {
+				t.Fatal(err)
+			}
+			instance.State = state
+			if len(list.Instances) == 1 && list.Instances[0] == instance {
+				return list.Validator
+			}
+		}
+	}
+	validator := await(lister.StateLive, "")
+	list, err := client.List(t.Context(), validator)
+	if err != nil || list.Instances != nil || list.Validator != validator {
+		t.Errorf("unchanged list: %+v, %v", list, err)
+	}
+	announcer.SetState(lister.StateLeaving)
+	await(lister.StateLeaving, validator)
+	started.SetFaults(keeper.Faults{
+		ListDown: true,
+	})
+	if _, err := client.List(t.Context(), ""); !errors.Is(err, lister.ErrUnavailable) {
+		t.Errorf("list that is down: %v", err)
+	}
+}
