Add the stand-in of workers and their client

Cause: the scheduler needs workers that keep leases, epochs and capacities, and evidence of what ran. With HTTP a message can be handled long after its sender gave up; without a check it then starts a run that the shard has placed elsewhere.

--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -117,11 +117,11 @@
 		return nil, nil, err
 	}
 	keeper.server = started
-	cleanup := func() {
+	cleanup := sync.OnceFunc(func() {
 		close(keeper.closed)
 		stop()
 		keeper.stopTimers()
-	}
+	})
 	return keeper, cleanup, nil
 }
 
--- /dev/null
+++ b/internal/standin/server/announcement.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+	"net/netip"
+
+	"pomelomoor/internal/platform/lister"
+)
+
+// Announcement is a stand-in's row on the instance list.
+type Announcement struct {
+	id        string
+	client    *lister.Client
+	announcer *lister.Announcer
+}
+
+// Announce keeps the instance on the list at the addresses. Without addresses it does nothing.
+// The returned function ends the heartbeat, as when the instance dies.
+func Announce(addresses []netip.AddrPort, instance lister.Instance) (*Announcement, func(), error) {
+	if len(addresses) == 0 {
+		return &Announcement{}, func() {}, nil
+	}
+	client, closeIdle, err := lister.Dial(addresses, lister.Options{})
+	if err != nil {
+		return nil, nil, err
+	}
+	instance.State = lister.StateLive
+	announcer, stop := lister.StartAnnouncing(client, instance, 0)
+	announcement := &Announcement{
+		id:        instance.ID,
+		client:    client,
+		announcer: announcer,
+	}
+	return announcement, func() {
+		stop()
+		closeIdle()
+	}, nil
+}
+
+// SetLeaving changes the state on the list.
+func (announcement *Announcement) SetLeaving(leaving bool) {
+	if announcement.announcer == nil {
+		return
+	}
+	state := lister.StateLive
+	if leaving {
+		state = lister.StateLeaving
+	}
+	announcement.announcer.SetState(state)
+}
+
+// Withdraw takes the instance off the list. The heartbeat must have ended.
+func (announcement *Announcement) Withdraw(ctx context.Context) {
+	if announcement.client != nil {
+		_ = announcement.client.Withdraw(ctx, announcement.id)
+	}
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,10 +58,10 @@
 			server:   server,
 		})
 	}()
-	cleanup := func() {
+	cleanup := sync.OnceFunc(func() {
 		_ = server.http.Close()
 		<-ended
-	}
+	})
 	return server, cleanup, nil
 }
 
--- /dev/null
+++ b/internal/standin/worker/handler.go
@@ -0,0 +1,84 @@
+package worker
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/standin/server"
+)
+
+const bodyLimit = 32 << 20
+
+// Handler returns the worker's HTTP interface.
+func (worker *Worker) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Post(executor.Path, worker.serveSync)
+	router.Get("/v1/history", func(writer http.ResponseWriter, _ *http.Request) {
+		server.Reply(writer, http.StatusOK, worker.History())
+	})
+	router.Get("/v1/faults", func(writer http.ResponseWriter, _ *http.Request) {
+		server.Reply(writer, http.StatusOK, worker.Faults())
+	})
+	router.Put("/v1/faults", func(writer http.ResponseWriter, request *http.Request) {
+		var faults Faults
+		if !server.Read(writer, request, bodyLimit, &faults) {
+			return
+		}
+		worker.SetFaults(faults)
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	router.Post("/v1/restart", func(writer http.ResponseWriter, _ *http.Request) {
+		worker.Restart()
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	return router
+}
+
+func (worker *Worker) serveSync(writer http.ResponseWriter, request *http.Request) {
+	var message executor.SyncRequest
+	if !server.Read(writer, request, bodyLimit, &message) {
+		return
+	}
+	faults := worker.Faults()
+	if faults.Down {
+		server.Drop()
+	}
+	worker.delay(faults.Slow.Duration)
+	reply, err := worker.Sync(message)
+	if err != nil {
+		server.Reply(writer, http.StatusConflict, executor.Refusal{
+			Error: executor.CodeFenced,
+		})
+		return
+	}
+	if worker.takeLoss() {
+		server.Drop()
+	}
+	server.Reply(writer, http.StatusOK, reply)
+}
+
+func (worker *Worker) delay(duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-worker.closed:
+		server.Drop()
+	}
+}
+
+func (worker *Worker) takeLoss() bool {
+	worker.mutex.Lock()
+	defer worker.mutex.Unlock()
+	if worker.faults.LoseAnswers == 0 {
+		return false
+	}
+	worker.faults.LoseAnswers--
+	return true
+}
