Add the stand-in of upstream runners and their client

Cause: interactive requests need upstreams with slots, and answers that can be late, swapped, cut or lost. Change: standin/runner refuses with proof when it is full or leaving and keeps a history; the requester client buffers the answer, checks its ID and length, and reports ErrNotRun only on a refusal or when no connection was had. After: go test -race -count=20 ./internal/standin/runner passes.

--- /dev/null
+++ b/internal/standin/runner/runner_test.go
@@ -0,0 +1,203 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/standin/runner"
+	"pomelomoor/internal/work/descriptor"
+)
+
+type fixture struct {
+	*testing.T
+	runner *runner.Runner
+	client *requester.Client
+	// stop ends the runner, and closeIdle the client's connections that are not in use.
+	stop, closeIdle func()
+}
+
+func start(t *testing.T, options runner.Options) *fixture {
+	t.Helper()
+	options.Address = netip.MustParseAddrPort("127.0.0.1:0")
+	started, stop, err := runner.Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	client, closeIdle := requester.New(requester.Options{})
+	t.Cleanup(closeIdle)
+	return &fixture{
+		T:         t,
+		runner:    started,
+		client:    client,
+		stop:      stop,
+		closeIdle: closeIdle,
+	}
+}
+
+func (fixture *fixture) send(ctx context.Context, id string, serviceTime time.Duration, deadline time.Time) (requester.Response, error) {
+	body, _ := json.Marshal(runner.Work{
+		ServiceTime: descriptor.Duration{
+			Duration: serviceTime,
+		},
+		Key:  "key-" + id,
+		Echo: "echo-" + id,
+	})
+	return fixture.client.Send(ctx, fixture.runner.Address(), requester.Request{
+		ID:       id,
+		Caller:   "caller",
+		Deadline: deadline,
+		Body:     body,
+	})
+}
+
+// expect sends one request and checks its error, the echo and whether it ran.
+func (fixture *fixture) expect(id string, want error, ran bool) {
+	fixture.Helper()
+	before := len(fixture.runner.History())
+	response, err := fixture.send(fixture.Context(), id, 0, time.Time{})
+	if !errors.Is(err, want) {
+		fixture.Errorf("request %s: error %v, want %v", id, err, want)
+	}
+	var result runner.Result
+	_ = json.Unmarshal(response.Body, &result)
+	if err == nil && result.Echo != "echo-"+id {
+		fixture.Errorf("request %s: got %+v", id, result)
+	}
+	history := fixture.runner.History()
+	if (len(history) > before) != ran || ran && history[before].Key != "key-"+id {
+		fixture.Errorf("request %s: history %+v", id, history)
+	}
+}
+
+// occupy starts a request that holds a slot until the returned function is called.
+func (fixture *fixture) occupy(id string) (release func() error) {
+	fixture.Helper()
+	ctx, cancel := context.WithCancel(fixture.Context())
+	ended := make(chan error, 1)
+	before := len(fixture.runner.History())
+	go func() {
+		_, err := fixture.send(ctx, id, time.Hour, time.Time{})
+		ended <- err
+	}()
+	for len(fixture.runner.History()) == before {
+		if fixture.Context().Err() != nil {
+			fixture.Fatal("request did not start")
+		}
+	}
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+// TestRefusal guards against a refusal that is taken for a possible run, a slot that is
+// given twice or never given back, and a runner that works on for a client that left.
+func TestRefusal(t *testing.T) {
+	fixture := start(t, runner.Options{
+		Slots: 2,
+	})
+	releases := []func() error{fixture.occupy("1"), fixture.occupy("2")}
+	fixture.expect("3", requester.ErrBusy, false)
+	for _, release := range releases {
+		if err := release(); !errors.Is(err, requester.ErrUncertain) || errors.Is(err, requester.ErrNotRun) {
+			t.Errorf("given up while it ran: %v", err)
+		}
+	}
+	for history := fixture.runner.History(); history[0].Ended.IsZero() || history[1].Ended.IsZero(); {
+		history = fixture.runner.History()
+	}
+	if history := fixture.runner.History(); history[0].Completed || history[1].Completed {
+		t.Errorf("completed for a client that left: %+v", history)
+	}
+	fixture.expect("4", nil, true)
+	fixture.runner.SetFaults(runner.Faults{
+		Leaving: true,
+	})
+	fixture.expect("5", requester.ErrLeaving, false)
+	fixture.stop()
+	// On a connection that is just being closed the outcome would be uncertain.
+	fixture.closeIdle()
+	fixture.expect("6", requester.ErrNotRun, false)
+}
+
+// TestConnections guards against connections beyond the limit that are served or left hanging.
+func TestConnections(t *testing.T) {
+	fixture := start(t, runner.Options{
+		Connections: 1,
+	})
+	release := fixture.occupy("1")
+	fixture.expect("2", requester.ErrBusy, false)
+	_ = release()
+	// The runner notices a little later that the connection is closed.
+	err := requester.ErrBusy
+	for errors.Is(err, requester.ErrBusy) {
+		_, err = fixture.send(t.Context(), "3", 0, time.Time{})
+	}
+	if history := fixture.runner.History(); err != nil || len(history) != 2 {
+		t.Errorf("after the first connection ended: %v, %+v", err, history)
+	}
+}
+
+// TestFaults guards against an answer to another request, an incomplete one or none at all
+// that is taken for a complete answer or for proof that nothing ran.
+func TestFaults(t *testing.T) {
+	fixture := start(t, runner.Options{})
+	fixture.expect("1", nil, true)
+	for _, test := range []struct {
+		id     string
+		faults runner.Faults
+		want   error
+		ran    bool
+	}{
+		{"2", runner.Faults{Swap: true}, requester.ErrMismatch, true},
+		{"3", runner.Faults{Truncate: true}, requester.ErrMismatch, true},
+		{"4", runner.Faults{LoseAnswers: 1}, requester.ErrUncertain, true},
+		{"5", runner.Faults{Down: true}, requester.ErrUncertain, false},
+		{"6", runner.Faults{}, nil, true},
+	} {
+		fixture.runner.SetFaults(test.faults)
+		fixture.expect(test.id, test.want, test.ran)
+	}
+	fixture.runner.SetFaults(runner.Faults{
+		Fail: true,
+	})
+	if response, err := fixture.send(t.Context(), "7", 0, time.Time{}); err != nil || response.Status != http.StatusInternalServerError {
+		t.Errorf("fast error: %+v, %v", response, err)
+	}
+}
+
+// TestDeadline guards against requests that run, or answers that are late, after their deadline.
+func TestDeadline(t *testing.T) {
+	fixture := start(t, runner.Options{})
+	if _, err := fixture.send(t.Context(), "1", 0, time.Now().Add(-time.Second)); !errors.Is(err, requester.ErrNotRun) {
+		t.Errorf("deadline has passed: %v", err)
+	}
+	// Whether the client gives up before the runner's error arrives is left to chance.
+	response, err := fixture.send(t.Context(), "2", time.Hour, time.Now().Add(100*time.Millisecond))
+	if !errors.Is(err, requester.ErrUncertain) && response.Status != http.StatusGatewayTimeout {
+		t.Errorf("deadline passes during the run: %+v, %v", response, err)
+	}
+	fixture.runner.SetFaults(runner.Faults{
+		Late: descriptor.Duration{
+			Duration: time.Hour,
+		},
+	})
+	if _, err := fixture.send(t.Context(), "3", 0, time.Now().Add(100*time.Millisecond)); !errors.Is(err, requester.ErrUncertain) {
+		t.Errorf("late answer: %v", err)
+	}
+	for history := fixture.runner.History(); len(history) < 2 || history[1].Ended.IsZero(); {
+		history = fixture.runner.History()
+	}
+	history := fixture.runner.History()
+	if len(history) != 2 || history[0].Completed || !history[1].Completed {
+		t.Errorf("history %+v", history)
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -149,7 +149,10 @@
 		stop()
 		return nil, nil, err
 	}
+	worker.mutex.Lock()
 	worker.announcement = announcement
+	worker.mutex.Unlock()
+	announcement.SetLeaving(options.Faults.Leaving)
 	cleanup := sync.OnceFunc(func() {
 		close(worker.closed)
 		silence()
@@ -180,8 +183,10 @@
 func (worker *Worker) SetFaults(faults Faults) {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	if faults.Leaving != worker.faults.Leaving {
+		worker.announcement.SetLeaving(faults.Leaving)
+	}
 	worker.faults = faults
-	worker.announcement.SetLeaving(faults.Leaving)
 }
 
 // History returns all runs that were ever started, oldest first.
