--- /dev/null
+++ b/internal/request/router/router.go
@@ -0,0 +1,245 @@
+// Package router divides the slots and connections of a region's runners among the region's entry
+// instances, keeps the health of the runners and chooses a runner or a peer for a request.
+// It is pure: the time is an argument. It is not safe for concurrent use.
+package router
+
+import (
+	"math/bits"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pomelomoor/internal/config/parser"
+)
+
+// Limits of one runner.
+const (
+	SlotsPerRunner       = 8
+	ConnectionsPerRunner = 64
+	connectionsPerSlot   = ConnectionsPerRunner / SlotsPerRunner
+)
+
+// longSlots are the slots that long work may take: half of them, whoever owns them, so that the
+// bound holds over all members without an exchange.
+const longSlots = mask(1<<(SlotsPerRunner/2) - 1)
+
+// mask is a set of slots of one runner.
+type mask uint8
+
+func (mask mask) count() int {
+	return bits.OnesCount8(uint8(mask))
+}
+
+func laneMask(lane parser.Lane) mask {
+	if lane == parser.LaneLong {
+		return longSlots
+	}
+	return 1<<SlotsPerRunner - 1
+}
+
+// Runner is one listed upstream runner of the own region.
+type Runner struct {
+	ID      string
+	Address netip.AddrPort
+	Leaving bool
+}
+
+// Slot is a slot of a runner that is reserved for one attempt. It is given back by Release.
+type Slot struct {
+	Runner  string
+	Address netip.AddrPort
+	Index   int
+	Lane    parser.Lane
+
+	runner *runner
+}
+
+// Share is what an entry instance may use of one runner.
+type Share struct {
+	Slots       int
+	LongSlots   int
+	Connections int
+}
+
+// Router knows the runners of one service in one region. The zero value with Self set is ready
+// for use.
+type Router struct {
+	// Self is the ID of this entry instance.
+	Self string
+
+	members []string
+	runners []*runner
+	byID    map[string]*runner
+	norms   [2]float64
+	offset  int
+}
+
+// SetMembers sets the live entry instances of the region. Self always counts as one.
+func (router *Router) SetMembers(members []string) {
+	members = append(slices.Clone(members), router.Self)
+	slices.Sort(members)
+	members = slices.Compact(members)
+	if slices.Equal(members, router.members) {
+		return
+	}
+	router.members = members
+	for _, runner := range router.runners {
+		runner.owned = router.own(runner.ID)
+	}
+}
+
+// own returns the slots of a runner that belong to this instance by rendezvous hashing.
+func (router *Router) own(runner string) mask {
+	var owned mask
+	for slot := range SlotsPerRunner {
+		if owner(router.members, router.Self, runner, slot) == router.Self {
+			owned |= 1 << slot
+		}
+	}
+	return owned
+}
+
+func owner(members []string, self, runner string, slot int) string {
+	best, bestScore := self, uint64(0)
+	buffer := make([]byte, 0, 128)
+	for _, member := range members {
+		buffer = append(buffer[:0], runner...)
+		buffer = append(buffer, 0, byte(slot), 0)
+		buffer = append(buffer, member...)
+		if score := xxhash.Sum64(buffer); score > bestScore {
+			best, bestScore = member, score
+		}
+	}
+	return best
+}
+
+// SetRunners replaces the list of runners. A runner that is no longer listed, or listed as
+// leaving, gets no new work. Slots that are in use stay in use until they are released. What is
+// known of a runner outlives a short absence, because a list that flaps must not end a pause or
+// make a leaving runner look new.
+func (router *Router) SetRunners(now time.Time, runners []Runner) {
+	if len(router.members) == 0 {
+		router.SetMembers(nil)
+	}
+	if router.byID == nil {
+		router.byID = map[string]*runner{}
+	}
+	for _, known := range router.runners {
+		if known.listed {
+			known.listed = false
+			known.keptUntil = now.Add(leavingHold)
+		}
+	}
+	for _, listed := range runners {
+		known := router.byID[listed.ID]
+		if known == nil || known.Address != listed.Address {
+			// Another address means another process, about which nothing is known.
+			known = newRunner(router.own(listed.ID))
+			router.byID[listed.ID] = known
+		}
+		known.Runner = listed
+		known.listed = true
+	}
+	router.runners = router.runners[:0]
+	for id, known := range router.byID {
+		if !known.listed && known.busy == 0 && !now.Before(known.keptUntil) {
+			delete(router.byID, id)
+			continue
+		}
+		router.runners = append(router.runners, known)
+	}
+	slices.SortFunc(router.runners, func(a, b *runner) int {
+		return strings.Compare(a.ID, b.ID)
+	})
+}
+
+// Share returns what this instance may use of a runner.
+func (router *Router) Share(id string) Share {
+	known := router.byID[id]
+	if known == nil {
+		return Share{}
+	}
+	return Share{
+		Slots:       known.owned.count(),
+		LongSlots:   (known.owned & longSlots).count(),
+		Connections: known.owned.count() * connectionsPerSlot,
+	}
+}
+
+// Choose reserves a free own slot for the lane on the runner with the lowest expected latency.
+// The runner named avoid is taken only when no other has a free slot.
+func (router *Router) Choose(now time.Time, lane parser.Lane, avoid string) (Slot, bool) {
+	best, bestScore := (*runner)(nil), 0.0
+	router.offset++
+	for i := range router.runners {
+		candidate := router.runners[(router.offset+i)%len(router.runners)]
+		if candidate.free(now, lane) == 0 {
+			continue
+		}
+		score := candidate.score(now)
+		if candidate.ID == avoid {
+			score += avoidPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	if best == nil {
+		return Slot{}, false
+	}
+	return best.reserve(lane), true
+}
+
+// Slots returns how many own slots the lane's work may take in turn, and how many are free now.
+func (router *Router) Slots(now time.Time, lane parser.Lane) (usable, free int) {
+	mask := laneMask(lane)
+	others := 0
+	for _, runner := range router.runners {
+		if !runner.open(now) {
+			continue
+		}
+		usable += min((runner.owned & mask).count(), runner.allowed(now))
+		free += runner.free(now, lane)
+		if lane == parser.LaneLong {
+			others += (runner.busy &^ runner.long & mask).count()
+		} else {
+			others += runner.long.count()
+		}
+	}
+	if lane == parser.LaneLong {
+		// Lanes take turns for the slots that both may use, so half of these come back.
+		others /= 2
+	}
+	if usable == 0 {
+		return 0, 0
+	}
+	return max(usable-others, 1), free
+}
+
+// Wake returns when a runner that is paused takes work again, or zero when none is paused.
+func (router *Router) Wake(now time.Time) time.Time {
+	var wake time.Time
+	for _, runner := range router.runners {
+		if !runner.listed || runner.Leaving || runner.owned&^runner.busy == 0 {
+			continue
+		}
+		at := runner.closedUntil()
+		if at.After(now) && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// Idle reports whether no runner is listed and no slot is in use.
+func (router *Router) Idle() bool {
+	for _, runner := range router.runners {
+		if runner.listed || runner.busy != 0 {
+			return false
+		}
+	}
+	return true
+}
