--- /dev/null
+++ b/internal/request/forwarder/call.go
@@ -0,0 +1,259 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/request/retrier"
+	"pomelomoor/internal/request/router"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Numbers of log events.
+const (
+	eventRunnerPaused  = 3001
+	eventWrongAnswer   = 3002
+	eventForwardFailed = 3003
+)
+
+// call is one request on its way. It belongs to the goroutine of its caller.
+type call struct {
+	id         string
+	request    Request
+	lane       parser.Lane
+	urgency    descriptor.Urgency
+	attempts   int
+	mayForward bool
+
+	service *service
+	tries   retrier.Request
+	// sent counts the attempts and forwards, for their IDs.
+	sent int
+	// avoid is the runner of the last attempt.
+	avoid string
+}
+
+// answer is what an attempt brought back for this call.
+type answer struct {
+	outcome retrier.Outcome
+	status  int
+	body    []byte
+}
+
+func (call *call) nextID() string {
+	call.sent++
+	return fmt.Sprintf("%s.%d", call.id, call.sent)
+}
+
+// refused returns the result of a call that never was attempted.
+func (call *call) refused(problem *descriptor.Problem) Result {
+	return Result{
+		ID: call.id,
+		Fate: descriptor.NotRun{
+			Reason: problem.Message,
+		},
+		Problem: problem,
+	}
+}
+
+// pursue makes attempts until the fate is final.
+func (forwarder *Forwarder) pursue(ctx context.Context, call *call) Result {
+	for {
+		slot, peer, problem := call.service.acquire(ctx, call)
+		if problem != nil {
+			return call.end(forwarder.abandon(call, problem), answer{})
+		}
+		var answer answer
+		if peer != "" {
+			call.mayForward = false
+			answer = forwarder.forward(ctx, call, peer)
+			if refused, ok := answer.outcome.(retrier.NotRun); ok && ctx.Err() == nil {
+				// The peer's report was out of date; the own queue is still open.
+				call.service.metrics.count("forward_refused", "code", string(refused.Problem.Code))
+				continue
+			}
+		} else {
+			call.avoid = slot.Runner
+			answer = forwarder.attempt(ctx, call, slot)
+		}
+		verdict := forwarder.decide(ctx, call, answer.outcome)
+		if !verdict.Retry {
+			return call.end(verdict, answer)
+		}
+		call.service.metrics.count("retried", "lane", string(call.lane))
+	}
+}
+
+func (forwarder *Forwarder) abandon(call *call, problem *descriptor.Problem) retrier.Verdict {
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	return forwarder.retrier.Abandon(time.Now(), &call.tries, problem)
+}
+
+func (forwarder *Forwarder) decide(ctx context.Context, call *call, outcome retrier.Outcome) retrier.Verdict {
+	now := time.Now()
+	if ctx.Err() != nil {
+		// Nobody waits for another attempt.
+		call.tries.Deadline = now
+	}
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	return forwarder.retrier.Decide(now, &call.tries, outcome)
+}
+
+func (call *call) end(verdict retrier.Verdict, answer answer) Result {
+	result := Result{
+		ID:      call.id,
+		Fate:    verdict.Fate,
+		Problem: verdict.Problem,
+	}
+	if _, done := verdict.Fate.(descriptor.Done); done {
+		result.Status = answer.status
+		result.Body = answer.body
+	}
+	return result
+}
+
+// attempt sends the request to the runner of slot and gives the slot back.
+func (forwarder *Forwarder) attempt(ctx context.Context, call *call, slot router.Slot) answer {
+	ctx, span := forwarder.options.Tracer.Start(ctx, "runner",
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("Runner", slot.Runner)),
+	)
+	defer span.End()
+	started := time.Now()
+	health := router.OutcomeFailure
+	// Deferred, because a slot that a panic kept would be lost.
+	defer func() {
+		call.service.release(ctx, slot, health, time.Since(started))
+	}()
+	id := call.nextID()
+	span.SetAttributes(attribute.String("ID", id))
+	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
+		ID:         id,
+		Service:    call.request.Service,
+		Caller:     call.request.Caller,
+		Deadline:   call.request.Deadline,
+		Idempotent: call.request.Idempotent,
+		Body:       call.request.Body,
+	})
+	if err == nil && response.ID != id {
+		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
+	}
+	if errors.Is(err, requester.ErrMismatch) {
+		forwarder.options.Logger.ErrorContext(ctx, "answer of another request was discarded",
+			slog.Int("Event", eventWrongAnswer),
+			slog.String("Runner", slot.Runner),
+			slog.String("ID", id),
+			slog.String("Error", err.Error()),
+		)
+	}
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		health = runnerHealth(ctx, err)
+		return answer{
+			outcome: failure(err),
+		}
+	}
+	if response.Status < 500 {
+		health = router.OutcomeSuccess
+	}
+	return answer{
+		outcome: retrier.Answered{
+			Status: response.Status,
+		},
+		status: response.Status,
+		body:   response.Body,
+	}
+}
+
+// runnerHealth tells faults of a runner from ends that the caller or the deadline brought.
+func runnerHealth(ctx context.Context, err error) router.Outcome {
+	switch {
+	case errors.Is(err, requester.ErrBusy):
+		return router.OutcomeBusy
+	case errors.Is(err, requester.ErrLeaving):
+		return router.OutcomeLeaving
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return router.OutcomeTimeout
+	case ctx.Err() != nil:
+		return router.OutcomeCancelled
+	default:
+		return router.OutcomeFailure
+	}
+}
+
+// failure translates an error of a runner. An error of no known kind proves nothing.
+func failure(err error) retrier.Outcome {
+	if errors.Is(err, requester.ErrNotRun) {
+		return retrier.NotRun{
+			Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "request was not run: %v", err),
+		}
+	}
+	return retrier.Uncertain{
+		Reason: fmt.Sprintf("request may have run: %v", err),
+	}
+}
+
+// forward hands the request to a peer.
+func (forwarder *Forwarder) forward(ctx context.Context, call *call, peer string) answer {
+	ctx, span := forwarder.options.Tracer.Start(ctx, "peer",
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("Peer", peer)),
+	)
+	defer span.End()
+	refused := true
+	defer func() {
+		forwarder.mu.Lock()
+		defer forwarder.mu.Unlock()
+		call.service.peers.Return(peer, refused)
+	}()
+	id := call.nextID()
+	reply, err := forwarder.options.Forward(ctx, peer, &peerpb.ForwardRequest{
+		Id:                 id,
+		Service:            call.request.Service,
+		Caller:             call.request.Caller,
+		Lane:               string(call.lane),
+		DeadlineUnixMillis: call.request.Deadline.UnixMilli(),
+		Idempotent:         call.request.Idempotent,
+		Body:               call.request.Body,
+		Urgency:            string(call.urgency),
+	})
+	if err == nil && reply.GetId() != id {
+		err = errors.Errorf("reply carries %q", reply.GetId())
+	}
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		forwarder.options.Logger.WarnContext(ctx, "forward failed",
+			slog.Int("Event", eventForwardFailed),
+			slog.String("Peer", peer),
+			slog.String("ID", id),
+			slog.String("Error", err.Error()),
+		)
+		if errors.Is(err, ErrNotRun) {
+			return answer{
+				outcome: retrier.NotRun{
+					Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "peer was not reached: %v", err),
+				},
+			}
+		}
+		return answer{
+			outcome: retrier.Uncertain{
+				Reason: fmt.Sprintf("peer may have run the request: %v", err),
+			},
+		}
+	}
+	result := decodeReply(reply)
+	_, refused = result.outcome.(retrier.NotRun)
+	return result
+}
