--- a/internal/request/router/health.go
+++ b/internal/request/router/health.go
@@ -30,7 +30,7 @@
 const (
 	// slownessGain is the weight of one answer in the mean of a runner.
 	slownessGain = 0.1
-	// normGain is the weight of one answer in the mean of a lane.
+	// normGain is the weight of one answer in the means over all runners.
 	normGain = 0.02
 	// failureSlowness is how many times slower than usual an error counts.
 	failureSlowness = 10.0
@@ -97,16 +97,23 @@
 	return until
 }
 
+// excess returns how far the runner's slowness exceeds the bound, 1 or less meaning that it does
+// not. The bound moves with what is typical now: when the work itself is slow or fails on all
+// runners, none loses share.
+func (runner *runner) excess(now time.Time, typical float64) float64 {
+	return runner.slownessAt(now) / (slowThreshold * max(typical, 1))
+}
+
 // allowed returns how many own slots the runner's health permits.
-func (runner *runner) allowed(now time.Time) int {
+func (runner *runner) allowed(now time.Time, typical float64) int {
 	share := runner.owned.count()
-	if slowness := runner.slownessAt(now); slowness > slowThreshold {
-		share = int(math.Ceil(float64(share) * slowThreshold / slowness))
+	if excess := runner.excess(now, typical); excess > 1 {
+		share = int(math.Ceil(float64(share) / excess))
 	}
 	return min(share, int(runner.window))
 }
 
-func (runner *runner) free(now time.Time, lane parser.Lane) int {
+func (runner *runner) free(now time.Time, lane parser.Lane, typical float64) int {
 	if !runner.open(now) || now.Before(runner.coolUntil) {
 		return 0
 	}
@@ -114,7 +121,7 @@
 	if slots == 0 {
 		return 0
 	}
-	return max(min(slots, runner.allowed(now)-runner.busy.count()), 0)
+	return max(min(slots, runner.allowed(now, typical)-runner.busy.count()), 0)
 }
 
 func (runner *runner) slownessAt(now time.Time) float64 {
@@ -172,7 +179,7 @@
 		if *norm == normGain*float64(took) {
 			*norm = float64(took)
 		}
-		runner.observe(now, ratio)
+		router.observe(now, runner, ratio)
 		runner.window = min(runner.window+1, SlotsPerRunner)
 		if runner.window == SlotsPerRunner {
 			runner.pause = 0
@@ -181,10 +188,10 @@
 		if ratio < timeoutSlowness {
 			return false
 		}
-		runner.observe(now, ratio)
+		router.observe(now, runner, ratio)
 		return router.punish(now, runner)
 	case OutcomeFailure:
-		runner.observe(now, max(ratio, failureSlowness))
+		router.observe(now, runner, max(ratio, failureSlowness))
 		return router.punish(now, runner)
 	case OutcomeBusy:
 		runner.coolUntil = now.Add(busyPause)
@@ -196,17 +203,22 @@
 	return false
 }
 
-func (runner *runner) observe(now time.Time, ratio float64) {
+func (router *Router) observe(now time.Time, runner *runner, ratio float64) {
 	slowness := runner.slownessAt(now)
 	// One straggler is no slow runner.
 	ratio = min(ratio, 2*failureSlowness)
+	router.typical += normGain * (ratio - router.typical)
 	runner.slowness = slowness + slownessGain*(ratio-slowness)
 	runner.seen = now
 }
 
-// punish halves the runner's window and pauses it when nothing is left. At least half of the
-// runners stay in use with one slot: when most fail, the fault is hardly theirs.
+// punish halves the window of a runner that is worse than the others and pauses it when nothing
+// is left. At least half of the runners stay in use with one slot: when most fail, the fault is
+// hardly theirs.
 func (router *Router) punish(now time.Time, failed *runner) (paused bool) {
+	if failed.excess(now, router.typical) <= 1 {
+		return false
+	}
 	failed.window /= 2
 	if failed.window >= 1 {
 		return false
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -73,7 +73,10 @@
 	members []string
 	runners []*runner
 	byID    map[string]*runner
+	// norms are the mean latencies of the short and the long lane, and typical the mean of all
+	// answers relative to them, errors included.
 	norms   [2]float64
+	typical float64
 	offset  int
 }
 
@@ -176,7 +179,7 @@
 	router.offset++
 	for i := range router.runners {
 		candidate := router.runners[(router.offset+i)%len(router.runners)]
-		if candidate.free(now, lane) == 0 {
+		if candidate.free(now, lane, router.typical) == 0 {
 			continue
 		}
 		score := candidate.score(now)
@@ -201,8 +204,8 @@
 		if !runner.open(now) {
 			continue
 		}
-		usable += min((runner.owned & mask).count(), runner.allowed(now))
-		free += runner.free(now, lane)
+		usable += min((runner.owned & mask).count(), runner.allowed(now, router.typical))
+		free += runner.free(now, lane, router.typical)
 		if lane == parser.LaneLong {
 			others += (runner.busy &^ runner.long & mask).count()
 		} else {
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -256,6 +256,24 @@
 	}
 }
 
+// Guards against a loss of slots when the work itself fails, on all runners alike.
+func TestFaultyWork(t *testing.T) {
+	router := &Router{}
+	router.SetRunners(start, listed(4))
+	requests := 0
+	load(router, start, 5000, func(string) (Outcome, time.Duration) {
+		requests++
+		if requests%4 == 0 {
+			return OutcomeFailure, 5 * time.Millisecond
+		}
+		return OutcomeSuccess, 20 * time.Millisecond
+	})
+	usable, _ := router.Slots(start.Add(10*time.Second), parser.LaneShort)
+	if usable < 4*SlotsPerRunner*3/4 {
+		t.Fatalf("%d of %d slots are usable", usable, 4*SlotsPerRunner)
+	}
+}
+
 // Guards against a new runner that gets its full share of work before it has answered once.
 func TestNewRunnerStartsGently(t *testing.T) {
 	router := &Router{}
