--- /dev/null
+++ b/internal/node/logger/logger_test.go
@@ -0,0 +1,85 @@
+package logger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write docs/events.md")
+
+// TestPage guards against a catalogue page that differs from the code.
+func TestPage(t *testing.T) {
+	const file = "../../../docs/events.md"
+	if *update {
+		if err := os.WriteFile(file, []byte(Page()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Page() {
+		t.Error("docs/events.md differs from the catalogue; run with -update")
+	}
+}
+
+// TestCatalogue guards against constants without an entry, and against double names and numbers.
+func TestCatalogue(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	constants := map[string]bool{}
+	ast.Inspect(file, func(node ast.Node) bool {
+		if spec, ok := node.(*ast.ValueSpec); ok && spec.Names[0].Name != "catalogue" {
+			constants[spec.Names[0].Name] = true
+		}
+		return true
+	})
+	last := Event(0)
+	for _, entry := range catalogue {
+		if !constants["Event"+entry.Name] {
+			t.Errorf("%s has no constant of its name or is listed twice", entry.Name)
+		}
+		delete(constants, "Event"+entry.Name)
+		if entry.Event <= last {
+			t.Errorf("%s is out of order", entry.Name)
+		}
+		last = entry.Event
+		if entry.Event.Describe() != entry || entry.Text == "" || entry.Meaning == "" || strings.Contains(entry.Meaning, "|") {
+			t.Errorf("%s is incomplete", entry.Name)
+		}
+	}
+	for name := range constants {
+		t.Errorf("%s has no entry", name)
+	}
+}
+
+// TestLog guards against lines whose field names are not Pascal case.
+func TestLog(t *testing.T) {
+	var output bytes.Buffer
+	log := New(&output, slog.LevelInfo)
+	Log(context.Background(), log, EventJobAccepted)
+	Log(context.Background(), log, EventShardLost, slog.String("Shard", "a-0"))
+	Log(context.Background(), nil, EventShardLost)
+	var line map[string]any
+	if err := json.Unmarshal(output.Bytes(), &line); err != nil {
+		t.Fatalf("not one JSON line: %s: %q", err, output.String())
+	}
+	delete(line, "Time")
+	got, _ := json.Marshal(line)
+	want := `{"Event":304,"Level":"WARN","Message":"shard lost","Name":"ShardLost","Shard":"a-0"}`
+	if string(got) != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
