Add entry/handler and entry/presenter: the public HTTP API

Every error has a stable code, and each call is bounded in header, body, time and share of the buffers. Calls of operators have gates of their own, so that an overload does not lock them out. Uncertain outcomes answer 500 and not 503, because balancers may repeat a call after 503. The documents are a package of their own, which keeps the client free of the server.

--- /dev/null
+++ b/internal/entry/handler/control.go
@@ -0,0 +1,118 @@
+package handler
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/work/descriptor"
+)
+
+func (server *server) config(writer http.ResponseWriter, request *http.Request) {
+	document, err := server.Configs.Current(request.Context())
+	if err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, document)
+}
+
+// readConfig returns the configuration in the body of a call, or answers why there is none.
+func (server *server) readConfig(writer http.ResponseWriter, request *http.Request) (parser.Config, bool) {
+	body, release, ok := server.readJSON(server.control, writer, request, parser.MaxDocument)
+	if !ok {
+		return parser.Config{}, false
+	}
+	defer release()
+	config, err := parser.Parse(body)
+	if err != nil {
+		server.fail(writer, request, invalid("configuration", err))
+		return parser.Config{}, false
+	}
+	return config, true
+}
+
+func (server *server) apply(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	base, err := strconv.ParseUint(query.Get("Base"), 10, 64)
+	if err != nil {
+		server.failBody(writer, request, descriptor.NewProblem(descriptor.CodeInvalid, 0,
+			"the query parameter Base must be the revision that the document is based on; 0 is the first"))
+		return
+	}
+	var wait time.Duration
+	if text := query.Get("Wait"); text != "" {
+		wait, err = time.ParseDuration(text)
+		if err != nil || wait < 0 || wait > presenter.MaxApplyWait {
+			server.failBody(writer, request, descriptor.NewProblem(descriptor.CodeInvalid, 0,
+				"the query parameter Wait must be a duration up to %s", presenter.MaxApplyWait))
+			return
+		}
+	}
+	config, ok := server.readConfig(writer, request)
+	if !ok {
+		return
+	}
+	applied, err := server.Configs.Apply(request.Context(), base, config, wait)
+	if err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, applied)
+}
+
+func (server *server) diff(writer http.ResponseWriter, request *http.Request) {
+	config, ok := server.readConfig(writer, request)
+	if !ok {
+		return
+	}
+	difference, err := server.Configs.Diff(request.Context(), config)
+	if err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, difference)
+}
+
+func (server *server) instances(writer http.ResponseWriter, request *http.Request) {
+	instances, err := server.Instances.Instances(request.Context())
+	if err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, presenter.InstancesDocument{
+		Instances: instances,
+	})
+}
+
+func (server *server) drain(writer http.ResponseWriter, request *http.Request) {
+	if err := server.Readiness.Drain(request.Context()); err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusAccepted, presenter.StateDocument{
+		State: "Draining",
+	})
+}
+
+func (server *server) ready(writer http.ResponseWriter, request *http.Request) {
+	server.answerState(writer, request, "Ready", server.Readiness.Ready())
+}
+
+func (server *server) live(writer http.ResponseWriter, request *http.Request) {
+	server.answerState(writer, request, "Live", server.Readiness.Live())
+}
+
+// answerState answers 200, or 503 with the reason, which is for operators.
+func (server *server) answerState(writer http.ResponseWriter, request *http.Request, state string, err error) {
+	if err != nil {
+		document := descriptor.NewProblem(descriptor.CodeUnavailable, DefaultRetryAfter, "%s", err)
+		server.failWith(writer, request, http.StatusServiceUnavailable, document, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, presenter.StateDocument{
+		State: state,
+	})
+}
--- /dev/null
+++ b/internal/entry/handler/requests.go
@@ -0,0 +1,61 @@
+package handler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// newRequestID returns an ID that no other request of the cell has.
+func newRequestID() string {
+	var bytes [16]byte
+	// Read never fails.
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+func (server *server) request(writer http.ResponseWriter, call *http.Request) {
+	request := presenter.Request{
+		ID:      newRequestID(),
+		Service: chi.URLParam(call, "service"),
+	}
+	writer.Header().Set(presenter.HeaderRequest, request.ID)
+	if err := request.ParseHeader(call.Header, time.Now()); err != nil {
+		server.failBody(writer, call, invalid("request", err))
+		return
+	}
+	var release func()
+	if call.ContentLength != 0 {
+		var ok bool
+		request.Body, release, ok = server.readJSON(server.work, writer, call, server.Limits.BodyBytes)
+		if !ok {
+			return
+		}
+		defer release()
+	}
+	ctx := call.Context()
+	if !request.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
+		defer cancel()
+	}
+	response, err := server.Requests.Handle(ctx, request)
+	if err != nil {
+		server.fail(writer, call, err)
+		return
+	}
+	if response.Status < http.StatusOK || response.Status > 599 {
+		server.fail(writer, call, errors.Errorf("upstream status %d has no HTTP form", response.Status))
+		return
+	}
+	writer.Header().Set(presenter.HeaderFate, descriptor.Record(response.Fate).Fate)
+	server.send(writer, response.Status, response.Body)
+}
--- /dev/null
+++ b/internal/entry/presenter/codes.go
@@ -0,0 +1,68 @@
+package presenter
+
+import (
+	"net/http"
+
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Status returns the HTTP status of a code.
+func Status(code descriptor.Code) int {
+	switch code {
+	case descriptor.CodeInvalid:
+		return http.StatusBadRequest
+	case descriptor.CodeImpossible:
+		return http.StatusUnprocessableEntity
+	case descriptor.CodeNotFound:
+		return http.StatusNotFound
+	case descriptor.CodeKeyConflict, descriptor.CodeConflict:
+		return http.StatusConflict
+	case descriptor.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case descriptor.CodeWrongType:
+		return http.StatusUnsupportedMediaType
+	case descriptor.CodeOverloaded:
+		return http.StatusTooManyRequests
+	case descriptor.CodeUnavailable, descriptor.CodeDraining:
+		return http.StatusServiceUnavailable
+	case descriptor.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case descriptor.CodeUpstream:
+		return http.StatusBadGateway
+	default:
+		// Uncertain and Internal are not 503, because balancers may repeat calls after that.
+		return http.StatusInternalServerError
+	}
+}
+
+// NotRun reports whether a code proves that nothing was accepted or run.
+func NotRun(code descriptor.Code) bool {
+	switch code {
+	case descriptor.CodeUncertain, descriptor.CodeInternal, descriptor.CodeUpstream:
+		return false
+	default:
+		return true
+	}
+}
+
+// Passing reports whether a code goes away by itself.
+func Passing(code descriptor.Code) bool {
+	switch code {
+	case descriptor.CodeOverloaded, descriptor.CodeUnavailable, descriptor.CodeDraining:
+		return true
+	default:
+		return false
+	}
+}
+
+// FateOf returns the fate of a request that ended with code.
+func FateOf(code descriptor.Code) descriptor.Fate {
+	switch {
+	case NotRun(code):
+		return descriptor.NotRun{}
+	case code == descriptor.CodeUpstream:
+		return descriptor.Failed{}
+	default:
+		return descriptor.Unknown{}
+	}
+}
--- a/internal/node/decoder/decoder.go
+++ b/internal/node/decoder/decoder.go
@@ -71,6 +71,15 @@
 }
 
 func (state *state) value(path string, raw json.RawMessage, target reflect.Value) {
+	if bytes.Equal(raw, []byte("null")) {
+		switch target.Kind() {
+		case reflect.Map, reflect.Slice:
+			// encoding/json writes empty maps and slices as null.
+		default:
+			state.fault(path, "is null")
+		}
+		return
+	}
 	switch target.Addr().Interface().(type) {
 	case json.Unmarshaler, encoding.TextUnmarshaler:
 		state.leaf(path, raw, target)
@@ -87,10 +96,6 @@
 }
 
 func (state *state) leaf(path string, raw json.RawMessage, target reflect.Value) {
-	if bytes.Equal(raw, []byte("null")) {
-		state.fault(path, "is null")
-		return
-	}
 	decoded := reflect.New(target.Type())
 	err := json.Unmarshal(raw, decoded.Interface())
 	var mismatch *json.UnmarshalTypeError
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -52,8 +52,10 @@
 	HeaderBytes int
 	// Headers bounds the number of header values of one call.
 	Headers int
-	// Calls bounds the public calls in progress.
+	// Calls bounds the submissions and requests in progress.
 	Calls int
+	// BufferBytes bounds the bodies of all calls in progress together.
+	BufferBytes int
 	// QueuedRequests bounds the interactive requests that wait.
 	QueuedRequests int
 	// RunnerSlots is the number of requests a runner works on at a time.
@@ -127,10 +129,12 @@
 		HTTP: netip.AddrPortFrom(loopback, 8080),
 		Peer: netip.AddrPortFrom(loopback, 8081),
 		Limits: Limits{
-			BodyBytes:         1 << 20,
-			HeaderBytes:       16 << 10,
-			Headers:           64,
-			Calls:             4096,
+			BodyBytes:   1 << 20,
+			HeaderBytes: 16 << 10,
+			Headers:     64,
+			Calls:       4096,
+			// A quarter of the memory that a node may use.
+			BufferBytes:       32 << 20,
 			QueuedRequests:    4096,
 			RunnerSlots:       8,
 			RunnerConnections: 64,
