Add the placement packages

Cause: the shard controller needs a choice of workers, an order of waiting work, learned sizes and evidence against faulty workers. Before: nothing. Conclusion: the API is usable; speed and order are not measured yet.

--- /dev/null
+++ b/internal/placement/placer/choose.go
@@ -0,0 +1,331 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Reasons of a Refusal, for errors.Is.
+var (
+	// ErrNoMatch means that no known worker matches the selectors.
+	ErrNoMatch = errors.New("no worker matches the selectors")
+	// ErrTooLarge means that the work does not fit the matching workers even when they are empty.
+	ErrTooLarge = errors.New("larger than the matching workers")
+	// ErrNoRoom means that the work may fit later.
+	ErrNoRoom = errors.New("no room now")
+)
+
+// Refusal tells why nothing was found.
+type Refusal struct {
+	// Reason is ErrNoMatch, ErrTooLarge or ErrNoRoom.
+	Reason error
+	// Workers counts the known workers and Matching those that the selectors match.
+	Workers, Matching int
+	// LargeEnough counts the matching workers that could hold one task when empty.
+	LargeEnough int
+	// Leaving, Quarantined and Held count the matching workers that take no such work now.
+	Leaving, Quarantined, Held int
+	// Tasks is the number of tasks asked for.
+	Tasks int
+	// Room is the number of tasks that could start now. It is counted for gangs only.
+	Room int
+}
+
+func (refusal *Refusal) Error() string {
+	return fmt.Sprintf("%v: %d workers, %d matching, %d large enough, %d leaving, %d quarantined, %d held, room for %d of %d tasks",
+		refusal.Reason, refusal.Workers, refusal.Matching, refusal.LargeEnough, refusal.Leaving,
+		refusal.Quarantined, refusal.Held, refusal.Room, refusal.Tasks)
+}
+
+// Unwrap returns the reason.
+func (refusal *Refusal) Unwrap() error {
+	return refusal.Reason
+}
+
+// Request asks for a worker for one task or for each of the equal tasks of a gang.
+type Request struct {
+	// Job is needed for spreading only.
+	Job    descriptor.JobID
+	Need   descriptor.Resources
+	Where  Where
+	Spread parser.Spread
+	// Avoid lists workers that are chosen only if no other one has room, such as those on which the
+	// task failed.
+	Avoid []descriptor.WorkerID
+	// End is when the task is expected to end. Work that ends before the start of a Hold may use the
+	// held workers until then. Zero means that the end is not known.
+	End time.Time
+	// Holder gives access to the held workers.
+	Holder bool
+	// TrialAllowed prefers workers on trial. It is meant for work that may run twice.
+	TrialAllowed bool
+}
+
+const (
+	// candidatesPerOrder bounds the workers compared per bucket and order.
+	candidatesPerOrder = 8
+	// spreadCandidates bounds the equally loaded workers compared when spreading.
+	spreadCandidates = 4
+)
+
+// Place returns the worker for one task, or a Refusal. It reserves nothing.
+func (placer *Placer) Place(request Request) (descriptor.WorkerID, error) {
+	worker := placer.choose(&request)
+	if worker == nil {
+		return "", placer.refuse(&request, 1, 0)
+	}
+	return worker.ID, nil
+}
+
+// PlaceGang returns workers for all n tasks, or a Refusal. It reserves nothing.
+func (placer *Placer) PlaceGang(request Request, n int) ([]descriptor.WorkerID, error) {
+	if n <= 0 || request.Need.Negative() {
+		return nil, ErrInvalid
+	}
+	request.TrialAllowed = false
+	if room := placer.room(&request, n); room < n {
+		return nil, placer.refuse(&request, n, room)
+	}
+	placed := make([]descriptor.WorkerID, 0, n)
+	chosen := make([]*entry, 0, n)
+	for range n {
+		worker := placer.choose(&request)
+		if worker == nil {
+			break
+		}
+		chosen = append(chosen, worker)
+		placed = append(placed, worker.ID)
+		placer.init()
+		placer.count(request.Job, worker, 1)
+		placer.take(worker, request.Need)
+	}
+	for _, worker := range slices.Backward(chosen) {
+		placer.count(request.Job, worker, -1)
+		placer.take(worker, descriptor.Resources{}.Sub(request.Need))
+	}
+	if len(placed) < n {
+		return nil, placer.refuse(&request, n, len(placed))
+	}
+	return placed, nil
+}
+
+// choose returns the best worker, or nil.
+func (placer *Placer) choose(request *Request) *entry {
+	if request.Need.Negative() {
+		return nil
+	}
+	groups := placer.matching(request.Where)
+	if request.TrialAllowed {
+		if worker := placer.chooseTrial(request); worker != nil {
+			return worker
+		}
+	}
+	best := placer.bestFit(request, groups, false)
+	if best == nil && placer.mayUseHeld(request) {
+		best = placer.bestFit(request, groups, true)
+	}
+	if best == nil || request.Spread == "" {
+		return best
+	}
+	return placer.spread(request, best)
+}
+
+func (placer *Placer) mayUseHeld(request *Request) bool {
+	if len(placer.hold.Workers) == 0 {
+		return false
+	}
+	return request.Holder || !request.End.IsZero() && !request.End.After(placer.hold.Start)
+}
+
+func (placer *Placer) chooseTrial(request *Request) *entry {
+	for _, worker := range placer.trials {
+		if worker.trialRuns == 0 && request.Need.Fits(worker.free) && !slices.Contains(request.Avoid, worker.ID) &&
+			request.Where.matches(worker.class.labels) {
+			return worker
+		}
+	}
+	return nil
+}
+
+// bestFit searches workers without accelerators before the others, and those with the fewest free
+// accelerators first, so that accelerators stay free for the work that needs them.
+func (placer *Placer) bestFit(request *Request, groups []*class, held bool) *entry {
+	var best, avoided *entry
+	bestScore := 0.0
+	accelerated := false
+	for _, group := range groups {
+		if group.accelerated && !accelerated {
+			accelerated = true
+			if best != nil {
+				return best
+			}
+		}
+		buckets := group.open
+		if held {
+			buckets = group.held
+		}
+		for i := request.Need.Accelerators; i < int64(len(buckets)); i++ {
+			found := false
+			buckets[i].candidates(request, func(worker *entry) {
+				if len(request.Avoid) > 0 && slices.Contains(request.Avoid, worker.ID) {
+					avoided = worker
+					return
+				}
+				found = true
+				if score := request.score(worker); best == nil || score < bestScore {
+					best, bestScore = worker, score
+				}
+			})
+			if found {
+				break
+			}
+		}
+	}
+	if best == nil {
+		return avoided
+	}
+	return best
+}
+
+// candidates calls compare for the workers with the least fitting amounts of either resource.
+func (bucket *bucket) candidates(request *Request, compare func(*entry)) {
+	left := candidatesPerOrder + len(request.Avoid)
+	accept := func(worker *entry) bool {
+		compare(worker)
+		left--
+		return left > 0
+	}
+	bucket.byMilliCPU.root.visit(request.Need.MilliCPU, request.Need.MemoryBytes, accept)
+	left = candidatesPerOrder + len(request.Avoid)
+	bucket.byMemory.root.visit(request.Need.MemoryBytes, request.Need.MilliCPU, accept)
+}
+
+// score is lower for a better fit: little is left of the worker, and what is left has the
+// proportions of the worker, so that other work can use it.
+func (request *Request) score(worker *entry) float64 {
+	cpu := fraction(worker.free.MilliCPU-request.Need.MilliCPU, worker.Capacity.MilliCPU)
+	memory := fraction(worker.free.MemoryBytes-request.Need.MemoryBytes, worker.Capacity.MemoryBytes)
+	accelerators := float64(worker.free.Accelerators - request.Need.Accelerators)
+	return accelerators + max(cpu, memory)
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// spread returns the worker on the rack, or the worker itself, with the fewest runs of the job.
+// It starts at a place that depends on the job and goes on until some equally good ones are found.
+func (placer *Placer) spread(request *Request, fallback *entry) *entry {
+	counts := placer.jobs[request.Job]
+	if counts == nil {
+		return fallback
+	}
+	mayUseHeld := placer.mayUseHeld(request)
+	var best *entry
+	bestCount, bestScore, free := 0, 0.0, 0
+	for i := range placer.racks {
+		shelf := placer.racks[(i+counts.total)%len(placer.racks)]
+		for _, worker := range shelf.workers {
+			if worker.bucket == nil || worker.held && !mayUseHeld || !request.Need.Fits(worker.free) ||
+				!request.Where.matches(worker.class.labels) || slices.Contains(request.Avoid, worker.ID) {
+				continue
+			}
+			count := counts.of(request.Spread, worker)
+			score := request.score(worker)
+			if best == nil || count < bestCount || count == bestCount && score < bestScore {
+				best, bestCount, bestScore = worker, count, score
+			}
+			if count == 0 {
+				free++
+			}
+		}
+		if free >= spreadCandidates {
+			break
+		}
+	}
+	if best == nil {
+		return fallback
+	}
+	return best
+}
+
+// of returns what is to be kept low for the kind of spread, with the other kind breaking ties.
+func (counts *spreadCount) of(kind parser.Spread, worker *entry) int {
+	if kind == parser.SpreadWorker {
+		return counts.workers[worker]<<16 + counts.racks[worker.rack]
+	}
+	return counts.racks[worker.rack]<<16 + counts.workers[worker]
+}
+
+// room counts the tasks that could start now, up to n.
+func (placer *Placer) room(request *Request, n int) int {
+	mayUseHeld := placer.mayUseHeld(request)
+	room := 0
+	for _, group := range placer.matching(request.Where) {
+		for _, worker := range group.workers {
+			if worker.bucket == nil || worker.held && !mayUseHeld {
+				continue
+			}
+			room += int(times(request.Need, worker.free, int64(n)))
+			if room >= n {
+				return n
+			}
+		}
+	}
+	return room
+}
+
+// times returns how often need fits into amount, at most limit.
+func times(need, amount descriptor.Resources, limit int64) int64 {
+	if amount.Negative() {
+		return 0
+	}
+	for _, pair := range [...][2]int64{
+		{need.MilliCPU, amount.MilliCPU},
+		{need.MemoryBytes, amount.MemoryBytes},
+		{need.Accelerators, amount.Accelerators},
+	} {
+		if pair[0] > 0 {
+			limit = min(limit, pair[1]/pair[0])
+		}
+	}
+	return limit
+}
+
+func (placer *Placer) refuse(request *Request, n, room int) error {
+	refusal := &Refusal{
+		Reason:  ErrNoRoom,
+		Workers: len(placer.workers),
+		Tasks:   n,
+		Room:    room,
+	}
+	var possible int64
+	for _, group := range placer.matching(request.Where) {
+		refusal.Matching += len(group.workers)
+		for capacity, count := range group.capacities {
+			if fitting := times(request.Need, capacity, int64(n)); fitting > 0 {
+				refusal.LargeEnough += count
+				possible += fitting * int64(count)
+			}
+		}
+		refusal.Leaving += group.states[Leaving]
+		refusal.Quarantined += group.states[Quarantined]
+	}
+	refusal.Held = len(placer.hold.Workers)
+	switch {
+	case refusal.Matching == 0:
+		refusal.Reason = ErrNoMatch
+	case possible < int64(n):
+		refusal.Reason = ErrTooLarge
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/placement/placer/placer_test.go
@@ -0,0 +1,250 @@
+package placer_test
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/placement/placer"
+	"pomelomoor/internal/work/descriptor"
+	"pomelomoor/internal/work/selector"
+)
+
+// model is the plain description of what a Placer should hold.
+type model struct {
+	placer  placer.Placer
+	workers map[descriptor.WorkerID]placer.Worker
+	runs    map[descriptor.RunID]descriptor.WorkerID
+	needs   map[descriptor.RunID]placer.Reservation
+	hold    placer.Hold
+	next    int
+}
+
+func (model *model) free(id descriptor.WorkerID) descriptor.Resources {
+	free := model.workers[id].Capacity
+	for run, worker := range model.runs {
+		if worker == id {
+			free = free.Sub(model.needs[run].Need)
+		}
+	}
+	return free
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func drawNeed(t *rapid.T) descriptor.Resources {
+	return descriptor.Resources{
+		MilliCPU:     rapid.Int64Range(0, 9).Draw(t, "cpu"),
+		MemoryBytes:  rapid.Int64Range(0, 9).Draw(t, "memory"),
+		Accelerators: rapid.SampledFrom([]int64{0, 0, 0, 1, 3}).Draw(t, "accelerators"),
+	}
+}
+
+func drawRequest(t *rapid.T) (placer.Request, func(descriptor.Labels) bool) {
+	text := rapid.SampledFrom([]string{"", "Disk=fast", "!Disk", "Site=a"}).Draw(t, "where")
+	where, err := selector.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return placer.Request{
+		Job:    descriptor.JobID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "job"))),
+		Need:   drawNeed(t),
+		Where:  placer.NewWhere(where),
+		Spread: rapid.SampledFrom([]parser.Spread{"", parser.SpreadRack, parser.SpreadWorker}).Draw(t, "spread"),
+		End:    epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "end"))),
+	}, where.Matches
+}
+
+func (model *model) setWorker(t *rapid.T) {
+	worker := placer.Worker{
+		ID: descriptor.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 7).Draw(t, "worker"))),
+		Place: descriptor.Place{
+			Site: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "site"),
+			Rack: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "rack"),
+		},
+		Capacity: drawNeed(t).Scale(2),
+		State:    rapid.SampledFrom([]placer.State{placer.InUse, placer.InUse, placer.InUse, placer.Leaving, placer.Quarantined}).Draw(t, "state"),
+	}
+	if rapid.Bool().Draw(t, "disk") {
+		worker.Labels = descriptor.Labels{
+			"Disk": "fast",
+		}
+	}
+	if err := model.placer.SetWorker(worker); err != nil {
+		t.Fatal(err)
+	}
+	model.workers[worker.ID] = worker
+}
+
+// usable reports whether the request may use the worker at all.
+func (model *model) usable(request placer.Request, matches func(descriptor.Labels) bool, worker placer.Worker) bool {
+	labels := descriptor.Labels{
+		"Site": worker.Place.Site,
+	}
+	maps.Copy(labels, worker.Labels)
+	held := slices.Contains(model.hold.Workers, worker.ID) && request.End.After(model.hold.Start)
+	return worker.State == placer.InUse && !held && matches(labels)
+}
+
+// placeGang compares the outcome with a count over all workers.
+func (model *model) placeGang(t *rapid.T) {
+	request, matches := drawRequest(t)
+	n := rapid.IntRange(1, 5).Draw(t, "tasks")
+	if request.Need == (descriptor.Resources{}) {
+		return
+	}
+	room := 0
+	for id, worker := range model.workers {
+		free := model.free(id)
+		for model.usable(request, matches, worker) && !free.Negative() && request.Need.Fits(free) {
+			free = free.Sub(request.Need)
+			room++
+		}
+	}
+	placed, err := model.placer.PlaceGang(request, n)
+	if n == 1 {
+		var one descriptor.WorkerID
+		one, err = model.placer.Place(request)
+		placed = []descriptor.WorkerID{one}
+	}
+	if (err == nil) != (room >= n) {
+		t.Fatalf("gang of %d with room for %d: %v", n, room, err)
+	}
+	var refusal *placer.Refusal
+	if err != nil {
+		if !errors.As(err, &refusal) || refusal.Workers != len(model.workers) {
+			t.Fatalf("refusal %#v", err)
+		}
+		return
+	}
+	if len(placed) != n {
+		t.Fatalf("placed %d of %d", len(placed), n)
+	}
+	for _, id := range placed {
+		if !model.usable(request, matches, model.workers[id]) {
+			t.Fatalf("placed on %v, which may not be used", id)
+		}
+		model.next++
+		reservation := placer.Reservation{
+			Run: descriptor.RunID{
+				Job:  request.Job,
+				Task: model.next,
+			},
+			Need:        request.Need,
+			Rank:        rapid.IntRange(0, 2).Draw(t, "rank"),
+			Preemptible: rapid.Bool().Draw(t, "preemptible"),
+			End:         request.End,
+		}
+		if err := model.placer.Reserve(id, reservation); err != nil {
+			t.Fatalf("the placement does not fit: %v", err)
+		}
+		model.runs[reservation.Run] = id
+		model.needs[reservation.Run] = reservation
+	}
+}
+
+func (model *model) drawRun(t *rapid.T) descriptor.RunID {
+	if len(model.runs) == 0 {
+		t.Skip("no run")
+	}
+	runs := slices.SortedFunc(maps.Keys(model.runs), func(a, b descriptor.RunID) int {
+		return a.Task - b.Task
+	})
+	return rapid.SampledFrom(runs).Draw(t, "run")
+}
+
+func (model *model) release(t *rapid.T) {
+	run := model.drawRun(t)
+	if err := model.placer.Release(run); err != nil {
+		t.Fatal(err)
+	}
+	delete(model.runs, run)
+	delete(model.needs, run)
+}
+
+func (model *model) change(t *rapid.T) {
+	changed := model.needs[model.drawRun(t)]
+	free := model.free(model.runs[changed.Run])
+	grown := drawNeed(t)
+	growth := grown.Sub(changed.Need)
+	changed.Need = grown
+	fits := growth.MilliCPU <= max(0, free.MilliCPU) && growth.MemoryBytes <= max(0, free.MemoryBytes) &&
+		growth.Accelerators <= max(0, free.Accelerators)
+	if err := model.placer.Change(changed); (err == nil) != fits {
+		t.Fatalf("change by %v with %v free: %v", growth, free, err)
+	}
+	if fits {
+		model.needs[changed.Run] = changed
+	}
+}
+
+// probe checks that the named victims, and no fewer, make the room.
+func (model *model) probe(t *rapid.T) {
+	need, rank := drawNeed(t), rapid.IntRange(0, 2).Draw(t, "above")
+	for id := range model.workers {
+		victims, ok := model.placer.Probe(id, need, rank)
+		room := model.free(id)
+		for _, victim := range victims {
+			reservation := model.needs[victim]
+			if model.runs[victim] != id || !reservation.Preemptible || reservation.Rank <= rank {
+				t.Fatalf("%v on %v may not be preempted", victim, id)
+			}
+			room = room.Add(reservation.Need)
+		}
+		if ok && !need.Fits(room) {
+			t.Fatalf("preempting %v on %v makes no room for %v", victims, id, need)
+		}
+		for _, victim := range victims {
+			if ok && need.Fits(room.Sub(model.needs[victim].Need)) {
+				t.Fatalf("preempting %v on %v is not needed for %v", victim, id, need)
+			}
+		}
+	}
+}
+
+// TestRandomOperations guards against reservations past a worker's capacity, gangs placed in part,
+// room that is not found, the use of workers that take no work, and an index that differs from the
+// reservations.
+func TestRandomOperations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := &model{
+			workers: map[descriptor.WorkerID]placer.Worker{},
+			runs:    map[descriptor.RunID]descriptor.WorkerID{},
+			needs:   map[descriptor.RunID]placer.Reservation{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"SetWorker": model.setWorker,
+			"Place":     model.placeGang,
+			"Release":   model.release,
+			"Change":    model.change,
+			"Probe":     model.probe,
+			"RemoveWorker": func(t *rapid.T) {
+				id := descriptor.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 7).Draw(t, "worker")))
+				for _, removed := range model.placer.RemoveWorker(id) {
+					delete(model.runs, removed.Run)
+					delete(model.needs, removed.Run)
+				}
+				delete(model.workers, id)
+			},
+			"Hold": func(t *rapid.T) {
+				request, _ := drawRequest(t)
+				model.hold, _ = model.placer.Forecast(request, rapid.IntRange(1, 3).Draw(t, "tasks"), epoch)
+				model.placer.SetHold(model.hold)
+			},
+			"": func(t *rapid.T) {
+				for id, worker := range model.workers {
+					_, free, ok := model.placer.Worker(id)
+					if want := model.free(id); !ok || free != want || len(model.placer.Runs(id)) > len(model.runs) {
+						t.Fatalf("%v: free %v, want %v", worker, free, want)
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/placement/placer/tree.go
@@ -0,0 +1,141 @@
+package placer
+
+// tree is a treap of workers ordered by one resource. Each node knows the largest amount of a second
+// resource below it, so that workers with enough of both are found in logarithmic time.
+type tree struct {
+	root *node
+}
+
+type node struct {
+	worker      *entry
+	left, right *node
+	priority    uint64
+	// key orders the nodes, ties are broken by the worker's ordinal.
+	key int64
+	// other is the second resource and maxOther its largest value in the subtree.
+	other, maxOther int64
+}
+
+func newNode(worker *entry, key, other int64) node {
+	return node{
+		worker:   worker,
+		priority: mix(worker.ordinal),
+		key:      key,
+		other:    other,
+		maxOther: other,
+	}
+}
+
+// mix is the finalizer of splitmix64. It makes priorities that look random and do not need a seed.
+func mix(value uint64) uint64 {
+	value += 0x9e3779b97f4a7c15
+	value = (value ^ value>>30) * 0xbf58476d1ce4e5b9
+	value = (value ^ value>>27) * 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+func (one *node) less(other *node) bool {
+	if one.key != other.key {
+		return one.key < other.key
+	}
+	return one.worker.ordinal < other.worker.ordinal
+}
+
+func (one *node) update() {
+	one.maxOther = one.other
+	if one.left != nil {
+		one.maxOther = max(one.maxOther, one.left.maxOther)
+	}
+	if one.right != nil {
+		one.maxOther = max(one.maxOther, one.right.maxOther)
+	}
+}
+
+func (tree *tree) insert(added *node) {
+	tree.root = insert(tree.root, added)
+}
+
+func insert(root, added *node) *node {
+	if root == nil {
+		return added
+	}
+	if added.priority > root.priority {
+		added.left, added.right = split(root, added)
+		added.update()
+		return added
+	}
+	if added.less(root) {
+		root.left = insert(root.left, added)
+	} else {
+		root.right = insert(root.right, added)
+	}
+	root.maxOther = max(root.maxOther, added.other)
+	return root
+}
+
+// split cuts a subtree into the nodes before and after pivot.
+func split(root, pivot *node) (before, after *node) {
+	if root == nil {
+		return nil, nil
+	}
+	if root.less(pivot) {
+		root.right, after = split(root.right, pivot)
+		before = root
+	} else {
+		before, root.left = split(root.left, pivot)
+		after = root
+	}
+	root.update()
+	return before, after
+}
+
+func (tree *tree) remove(removed *node) {
+	tree.root = remove(tree.root, removed)
+}
+
+func remove(root, removed *node) *node {
+	if root == removed {
+		return merge(root.left, root.right)
+	}
+	if removed.less(root) {
+		root.left = remove(root.left, removed)
+	} else {
+		root.right = remove(root.right, removed)
+	}
+	root.update()
+	return root
+}
+
+func merge(before, after *node) *node {
+	switch {
+	case before == nil:
+		return after
+	case after == nil:
+		return before
+	case before.priority > after.priority:
+		before.right = merge(before.right, after)
+		before.update()
+		return before
+	default:
+		after.left = merge(before, after.left)
+		after.update()
+		return after
+	}
+}
+
+// visit calls accept for the nodes with at least key and other, smallest key first, until it
+// returns false. It returns false if accept did.
+func (one *node) visit(key, other int64, accept func(*entry) bool) bool {
+	if one == nil || one.maxOther < other {
+		return true
+	}
+	if one.key >= key {
+		if !one.left.visit(key, other, accept) {
+			return false
+		}
+		if one.other >= other && !accept(one.worker) {
+			return false
+		}
+	}
+	return one.right.visit(key, other, accept)
+}
