--- /dev/null
+++ b/internal/placement/detector/detector_test.go
@@ -0,0 +1,127 @@
+package detector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelomoor/internal/placement/detector"
+	"pomelomoor/internal/work/descriptor"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func workerID(i int) descriptor.WorkerID {
+	return descriptor.WorkerID(fmt.Sprint("w", i))
+}
+
+// TestQuarantineFloor guards against more than a quarter of the workers out of use, and against
+// changes that do not agree with the states.
+func TestQuarantineFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var evidence detector.Detector
+		known := map[descriptor.WorkerID]detector.State{}
+		now := epoch
+		apply := func(changes []detector.Change) {
+			for _, change := range changes {
+				if known[change.Worker] == change.State {
+					t.Fatalf("%v changes to the state it has", change)
+				}
+				known[change.Worker] = change.State
+			}
+		}
+		draw := func(t *rapid.T) descriptor.WorkerID {
+			return workerID(rapid.IntRange(0, 11).Draw(t, "worker"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"Report": func(t *rapid.T) {
+				id := draw(t)
+				if _, ok := known[id]; !ok {
+					known[id] = detector.InUse
+				}
+				for i := range rapid.IntRange(1, 8).Draw(t, "runs") {
+					job := descriptor.JobID(fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "job"), i))
+					apply(evidence.Report(now, id, job, rapid.IntRange(0, 9).Draw(t, "failed") > 0))
+				}
+			},
+			"Remove": func(t *rapid.T) {
+				id := draw(t)
+				delete(known, id)
+				apply(evidence.Remove(id))
+			},
+			"Tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "minutes")) * time.Minute)
+				apply(evidence.Tick(now))
+			},
+			"": func(t *rapid.T) {
+				out := 0
+				for id, state := range known {
+					if evidence.State(id) != state {
+						t.Fatalf("%v: state %v, last change %v", id, evidence.State(id), state)
+					}
+					if state != detector.InUse {
+						out++
+					}
+				}
+				if out > len(known)/4 {
+					t.Fatalf("%d of %d workers are out of use", out, len(known))
+				}
+			},
+		})
+	})
+}
+
+// TestFaultyWorkers guards against healthy workers that are blamed for jobs failing everywhere, and
+// against faulty workers that stay in use or never return.
+func TestFaultyWorkers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		tasksPerJob := rapid.SampledFrom([]int{1, 5, 200}).Draw(t, "tasks per job")
+		failureRate := rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "failure rate")
+		var evidence detector.Detector
+		const workers, faulty = 20, 3
+		blamed := map[descriptor.WorkerID]bool{}
+		now := epoch
+		run := func(runs, broken int) {
+			for i := range runs {
+				now = now.Add(time.Second)
+				changes := evidence.Tick(now)
+				id := random.IntN(workers)
+				job := descriptor.JobID(fmt.Sprint("job", (runs+i)/tasksPerJob, broken))
+				failed := random.Float64() < failureRate || id < broken
+				// One job in ten fails everywhere as long as workers are broken.
+				if broken > 0 && i/tasksPerJob%10 == 9 {
+					failed = true
+				}
+				if evidence.State(workerID(id)) != detector.Quarantined {
+					changes = append(changes, evidence.Report(now, workerID(id), job, failed)...)
+				}
+				for _, change := range changes {
+					if change.State == detector.Quarantined {
+						blamed[change.Worker] = true
+					}
+				}
+			}
+		}
+		run(3000, faulty)
+		for id := range faulty {
+			if evidence.State(workerID(id)) == detector.InUse {
+				t.Fatalf("faulty worker %d is in use", id)
+			}
+		}
+		if len(blamed) > faulty+1 {
+			t.Fatalf("healthy workers blamed: %v", blamed)
+		}
+		now = now.Add(detector.MaxPause)
+		failureRate = 0
+		run(3000, 0)
+		for id := range workers {
+			if evidence.State(workerID(id)) != detector.InUse {
+				t.Fatalf("worker %d does not return", id)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/estimator/estimator_test.go
@@ -0,0 +1,107 @@
+package estimator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelomoor/internal/placement/estimator"
+	"pomelomoor/internal/work/descriptor"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// TestStragglers guards against a few runs of twenty times the length that spoil the typical run
+// time, and against a memory estimate that most later runs exceed.
+func TestStragglers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		typical := time.Duration(rapid.IntRange(1, 10_000).Draw(t, "seconds")) * time.Second
+		memory := rapid.Int64Range(1<<20, 1<<36).Draw(t, "memory")
+		learned := estimator.Estimator{
+			Reclaim: true,
+		}
+		class := estimator.Class{
+			Name: "assay",
+		}
+		exceeded := 0
+		for i := range 400 {
+			peak := descriptor.Resources{
+				MemoryBytes: int64(float64(memory) * (0.5 + random.Float64()/2)),
+			}
+			runTime := time.Duration(float64(typical) * (0.7 + 0.6*random.Float64()))
+			if random.IntN(20) == 0 {
+				runTime *= 20
+			}
+			estimate := learned.Estimate(class, descriptor.Resources{}, 0)
+			if i >= 100 && peak.MemoryBytes > estimate.MemoryBytes {
+				exceeded++
+			}
+			learned.Finish(class, peak, runTime, true, epoch)
+		}
+		estimate := learned.Estimate(class, descriptor.Resources{}, time.Hour)
+		if ratio := estimate.RunTime.Seconds() / typical.Seconds(); ratio < 0.7 || ratio > 1.5 {
+			t.Fatalf("typical run time %v, estimate %v", typical, estimate.RunTime)
+		}
+		if exceeded > 3 || estimate.MemoryBytes > memory*5/4 {
+			t.Fatalf("%d of 300 runs exceeded the memory estimate %d of at most %d", exceeded, estimate.MemoryBytes, memory)
+		}
+		if !estimate.Straggling(estimate.RunTime*5) || estimate.Straggling(estimate.RunTime*3) {
+			t.Fatal("stragglers are not told from slow runs")
+		}
+	})
+}
+
+// TestDeclaredIsLowerBound guards against estimates below what a caller asked for while reclaiming is
+// off, and against measured memory that is not believed.
+func TestDeclaredIsLowerBound(t *testing.T) {
+	var learned estimator.Estimator
+	class := estimator.Class{
+		Name: "match",
+	}
+	declared := descriptor.Resources{
+		MilliCPU:     1000,
+		MemoryBytes:  1 << 30,
+		Accelerators: 1,
+	}
+	for range 20 {
+		learned.Finish(class, descriptor.Resources{MilliCPU: 10, MemoryBytes: 1 << 20}, time.Second, true, epoch)
+	}
+	if got := learned.Estimate(class, declared, 0); got.Resources != declared || got.RunTime.Round(time.Millisecond) != time.Second {
+		t.Fatalf("estimate %+v, declared %+v", got, declared)
+	}
+	learned.Observe(class, descriptor.Usage{
+		Resources: descriptor.Resources{MemoryBytes: 1 << 31},
+		At:        epoch,
+	})
+	if got := learned.Estimate(class, declared, 0); got.MemoryBytes <= 1<<31 {
+		t.Fatalf("estimate %d after a measurement of %d", got.MemoryBytes, 1<<31)
+	}
+}
+
+// TestSnapshot guards against knowledge that a new owner of the shard loses, and against memory
+// that grows with the names callers choose.
+func TestSnapshot(t *testing.T) {
+	first := estimator.Estimator{
+		MaxClasses: 50,
+	}
+	for i := range 1000 {
+		class := estimator.Class{
+			Name: fmt.Sprint(i),
+		}
+		first.Finish(class, descriptor.Resources{MilliCPU: int64(i)}, time.Second, i%2 == 0, epoch.Add(time.Duration(i)))
+	}
+	var second estimator.Estimator
+	second.Import(first.Export())
+	states := second.Export()
+	if !reflect.DeepEqual(states, first.Export()) || len(states) > 50 || len(states) < 25 {
+		t.Fatalf("%d classes exported", len(states))
+	}
+	if latest := (estimator.Class{Name: "999"}); second.Estimate(latest, descriptor.Resources{}, 0).Samples != 1 {
+		t.Fatal("the class seen last was forgotten")
+	}
+}
--- /dev/null
+++ b/internal/placement/orderer/orderer_test.go
@@ -0,0 +1,248 @@
+package orderer_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelomoor/internal/placement/orderer"
+	"pomelomoor/internal/work/descriptor"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+var urgencies = []descriptor.Urgency{descriptor.UrgencyHigh, descriptor.UrgencyNormal, descriptor.UrgencyLow}
+
+// model is the plain description of what an Orderer should hold.
+type model struct {
+	orderer orderer.Orderer
+	now     time.Time
+	entries map[descriptor.JobID]orderer.Entry
+	tasks   map[descriptor.JobID]map[int]bool
+	used    map[string]descriptor.Resources
+}
+
+var quota = descriptor.Resources{
+	MilliCPU: 8,
+}
+
+func (model *model) add(t *rapid.T) {
+	entry := orderer.Entry{
+		Job:      descriptor.JobID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "job"))),
+		Team:     rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"),
+		Urgency:  rapid.SampledFrom(urgencies).Draw(t, "urgency"),
+		Gang:     rapid.Bool().Draw(t, "gang"),
+		Arrival:  model.now,
+		Estimate: time.Duration(rapid.IntRange(0, 5).Draw(t, "estimate")) * time.Second,
+		Need: descriptor.Resources{
+			MilliCPU: rapid.Int64Range(1, 4).Draw(t, "need"),
+		},
+	}
+	if rapid.Bool().Draw(t, "due") {
+		entry.Deadline = model.now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "deadline")) * time.Second)
+	}
+	tasks := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 4).Draw(t, "tasks")
+	model.orderer.Add(entry, tasks...)
+	model.entries[entry.Job] = entry
+	if model.tasks[entry.Job] == nil {
+		model.tasks[entry.Job] = map[int]bool{}
+	}
+	for _, task := range tasks {
+		model.tasks[entry.Job][task] = true
+	}
+}
+
+func (model *model) forget(job descriptor.JobID) {
+	delete(model.entries, job)
+	delete(model.tasks, job)
+}
+
+// check fails if the candidate is not waiting or another job had to come first.
+func (model *model) check(t *rapid.T, candidate orderer.Candidate, passed map[descriptor.JobID]bool) {
+	waiting := model.tasks[candidate.Job]
+	if len(waiting) == 0 || passed[candidate.Job] || candidate.Entry != model.entries[candidate.Job] {
+		t.Fatalf("%+v is not waiting", candidate)
+	}
+	for _, task := range candidate.Tasks {
+		if !waiting[task] {
+			t.Fatalf("task %d of %v is not waiting", task, candidate.Job)
+		}
+	}
+	if candidate.Gang && len(candidate.Tasks) != len(waiting) || !candidate.Gang && len(candidate.Tasks) != 1 {
+		t.Fatalf("%v: %d of %d tasks", candidate.Job, len(candidate.Tasks), len(waiting))
+	}
+	for job, other := range model.entries {
+		if passed[job] || job == candidate.Job {
+			continue
+		}
+		if other.Urgency.Rank() < candidate.Urgency.Rank() {
+			t.Fatalf("%v comes before the more urgent %v", candidate.Job, job)
+		}
+		step := int64(0)
+		if other.Urgency == candidate.Urgency {
+			step = 4*model.used[other.Team].MilliCPU/quota.MilliCPU - 4*model.used[candidate.Team].MilliCPU/quota.MilliCPU
+		}
+		if step < 0 {
+			t.Fatalf("%v comes before %v of a team with a lower share", candidate.Job, job)
+		}
+		attainable := func(entry orderer.Entry) bool {
+			return !entry.Deadline.IsZero() && !entry.Deadline.Add(-entry.Estimate).Before(model.now)
+		}
+		if step == 0 && other.Urgency == candidate.Urgency && attainable(other) && model.now.Before(epoch.Add(time.Hour)) &&
+			(!attainable(candidate.Entry) || other.Deadline.Add(-other.Estimate).Before(candidate.Deadline.Add(-candidate.Estimate))) {
+			t.Fatalf("%v comes before %v, which has less laxity", candidate.Job, job)
+		}
+	}
+}
+
+func (model *model) charge(candidate orderer.Candidate) {
+	need := candidate.Need.Scale(int64(len(candidate.Tasks)))
+	used := model.used[candidate.Team]
+	model.used[candidate.Team] = used.Add(need)
+	for _, task := range candidate.Tasks {
+		delete(model.tasks[candidate.Job], task)
+	}
+	if len(model.tasks[candidate.Job]) == 0 {
+		model.forget(candidate.Job)
+	}
+}
+
+func (model *model) walk(t *rapid.T) {
+	passed := map[descriptor.JobID]bool{}
+	stopped := false
+	model.orderer.Walk(model.now, func(candidate orderer.Candidate) orderer.Verdict {
+		model.check(t, candidate, passed)
+		verdict := rapid.SampledFrom([]orderer.Verdict{orderer.Skip, orderer.Placed, orderer.Drop, orderer.Stop}).Draw(t, "verdict")
+		switch verdict {
+		case orderer.Placed:
+			model.charge(candidate)
+		case orderer.Drop:
+			model.forget(candidate.Job)
+		case orderer.Stop:
+			stopped = true
+		default:
+			passed[candidate.Job] = true
+		}
+		return verdict
+	})
+	if !stopped && len(passed) != len(model.entries) {
+		t.Fatalf("the walk passed %d of %d waiting jobs", len(passed), len(model.entries))
+	}
+}
+
+// TestRandomOperations guards against lost or repeated tasks, cancelled work that is offered,
+// a wrong order, and blocked jobs that hide others.
+func TestRandomOperations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := &model{
+			now:     epoch,
+			entries: map[descriptor.JobID]orderer.Entry{},
+			tasks:   map[descriptor.JobID]map[int]bool{},
+			used:    map[string]descriptor.Resources{},
+		}
+		model.orderer.SetTeam("a", quota)
+		model.orderer.SetTeam("b", quota)
+		t.Repeat(map[string]func(*rapid.T){
+			"Add":  model.add,
+			"Walk": model.walk,
+			"Pop": func(t *rapid.T) {
+				candidate, ok := model.orderer.Pop(model.now)
+				if ok != (len(model.entries) > 0) {
+					t.Fatalf("pop from %d jobs: %v", len(model.entries), ok)
+				}
+				if ok {
+					model.check(t, candidate, nil)
+					model.charge(candidate)
+				}
+			},
+			"Remove": func(t *rapid.T) {
+				jobs := rapid.SliceOf(rapid.SampledFrom([]descriptor.JobID{"0", "1", "2", "3", "4", "5"})).Draw(t, "jobs")
+				model.orderer.Remove(jobs...)
+				for _, job := range jobs {
+					model.forget(job)
+				}
+			},
+			"RemoveTask": func(t *rapid.T) {
+				job, task := descriptor.JobID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "job"))), rapid.IntRange(0, 5).Draw(t, "task")
+				if model.orderer.RemoveTask(job, task) != model.tasks[job][task] {
+					t.Fatal("a task was not removed or was not waiting")
+				}
+				delete(model.tasks[job], task)
+				if len(model.tasks[job]) == 0 {
+					model.forget(job)
+				}
+			},
+			"Credit": func(*rapid.T) {
+				for name, used := range model.used {
+					model.orderer.Credit(name, used)
+				}
+				clear(model.used)
+			},
+			"Wait": func(t *rapid.T) {
+				model.now = model.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(t *rapid.T) {
+				count := 0
+				for job, want := range model.tasks {
+					_, got, _ := model.orderer.Waiting(job)
+					if !slices.Equal(got, slices.Sorted(maps.Keys(want))) {
+						t.Fatalf("%v: waiting %v, want %v", job, got, want)
+					}
+					count += len(want)
+				}
+				if jobs, tasks := model.orderer.Len(); jobs != len(model.entries) || tasks != count {
+					t.Fatalf("%d jobs and %d tasks, want %d and %d", jobs, tasks, len(model.entries), count)
+				}
+			},
+		})
+	})
+}
+
+// TestReservation guards against two reservations at once, one that lasts without bound, and one that
+// a job takes again before others had as long without it.
+func TestReservation(t *testing.T) {
+	var queue orderer.Orderer
+	for _, job := range []descriptor.JobID{"a", "b"} {
+		queue.Add(orderer.Entry{
+			Job: job,
+		}, 0)
+	}
+	start := epoch.Add(time.Minute)
+	lapse := epoch.Add(orderer.DefaultMaxReservation)
+	steps := []struct {
+		at   time.Time
+		job  descriptor.JobID
+		want bool
+	}{
+		{epoch, "unknown", false},
+		{epoch, "a", true},
+		{start, "b", false},
+		{lapse.Add(-1), "a", true},
+		{lapse, "a", false},
+		{lapse, "b", true},
+		{lapse.Add(orderer.DefaultMaxReservation), "a", true},
+	}
+	for i, step := range steps {
+		if got := queue.Reserve(step.at, step.job, start); got != step.want {
+			t.Fatalf("step %d: reserved %v, want %v", i, got, step.want)
+		}
+	}
+	now := lapse.Add(orderer.DefaultMaxReservation)
+	for end, want := range map[time.Time]bool{
+		{}:                     false,
+		start:                  true,
+		start.Add(time.Second): false,
+	} {
+		if got := queue.MayBackfill(now, end); got != want {
+			t.Errorf("backfill until %v: %v, want %v", end, got, want)
+		}
+	}
+	queue.Remove("a")
+	if _, ok := queue.Reservation(now); ok {
+		t.Error("the reservation outlives its job")
+	}
+}
