--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -146,11 +146,27 @@
 	return nil
 }
 
-// Apply makes document the configuration if the current revision is base.
-// It returns the new revision, or a Problem whose details show both sides of a conflict.
-func (applier *Applier) Apply(ctx context.Context, base uint64, document []byte) (uint64, error) {
-	config, err := parser.Parse(document)
+// Conflict is the error of an Apply that was based on an older revision than the current one.
+type Conflict struct {
+	// Base is the revision on which the change was based, Revision the current one.
+	Base, Revision uint64
+	// Current is the configuration of Revision, Proposed the one that was not applied.
+	Current, Proposed parser.Config
+}
+
+func (conflict *Conflict) Error() string {
+	return fmt.Sprintf("the configuration is at revision %d, not at %d on which this change is based",
+		conflict.Revision, conflict.Base)
+}
+
+// Apply makes config the configuration if the current revision is base. It returns the new revision,
+// a *Conflict, or a *descriptor.Problem.
+func (applier *Applier) Apply(ctx context.Context, base uint64, config parser.Config) (uint64, error) {
+	document, err := json.Marshal(config)
 	if err != nil {
+		return 0, descriptor.NewProblem(descriptor.CodeInvalid, 0, "the configuration cannot be written: %v", err)
+	}
+	if _, err := parser.Parse(document); err != nil {
 		return 0, invalid(err)
 	}
 	entry, value, err := applier.read(ctx)
@@ -160,7 +176,7 @@
 	// The instance may know a newer revision than a stale answer of the store has.
 	newest := max(value.Revision, applier.Current().Revision)
 	if base != newest {
-		return 0, applier.conflict(base, newest, value, config)
+		return 0, conflict(base, newest, value, config)
 	}
 	next := stored{
 		Revision: newest + 1,
@@ -213,25 +229,15 @@
 	return entry, value, nil
 }
 
-func (applier *Applier) conflict(base, newest uint64, value stored, wanted parser.Config) error {
-	problem := descriptor.NewProblem(descriptor.CodeConflict, 0,
-		"the configuration is at revision %d, not at %d on which this change is based", newest, base)
-	theirs, err := parser.Parse(value.Document)
-	if err != nil {
-		return problem
-	}
-	for _, change := range parser.Diff(theirs, wanted) {
-		problem.Details = append(problem.Details,
-			fmt.Sprintf("%s: in force: %s; yours: %s", change.Item, orNone(change.Before), orNone(change.After)))
-	}
-	return problem
-}
-
-func orNone(text string) string {
-	if text == "" {
-		return "(none)"
+func conflict(base, revision uint64, value stored, proposed parser.Config) error {
+	// The current side stays empty when the store's document cannot be read any more.
+	current, _ := parser.Parse(value.Document)
+	return &Conflict{
+		Base:     base,
+		Revision: revision,
+		Current:  current,
+		Proposed: proposed,
 	}
-	return text
 }
 
 // writeAttempts bounds how often a write with a lost answer is repeated.
@@ -282,6 +288,6 @@
 	case uncertain && value.Revision > next.Revision:
 		return uncertainProblem(next.Revision)
 	default:
-		return applier.conflict(next.Revision-1, value.Revision, value, config)
+		return conflict(next.Revision-1, value.Revision, value, config)
 	}
 }
