--- /dev/null
+++ b/internal/standin/delayer/delayer_test.go
@@ -0,0 +1,79 @@
+package delayer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomelomoor/internal/standin/delayer"
+)
+
+// connect returns both ends of a connection over a link of 30 ms, in a bubble where time is controlled.
+func connect(t *testing.T) (link *delayer.Link, near, far net.Conn) {
+	t.Helper()
+	inner, far := net.Pipe()
+	link, end := delayer.New(30*time.Millisecond, func(context.Context, string, string) (net.Conn, error) {
+		return inner, nil
+	})
+	t.Cleanup(end)
+	near, err := link.Dial(t.Context(), "tcp", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return link, near, far
+}
+
+// TestLatency guards against bytes, or the end of a connection, that arrive early, late or not at all.
+func TestLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		link, near, far := connect(t)
+		if took := time.Since(began); took != 60*time.Millisecond {
+			t.Errorf("dial took %v", took)
+		}
+		began = time.Now()
+		// The caller may close at once; what it wrote still arrives.
+		_, _ = near.Write([]byte("one "))
+		_, _ = near.Write([]byte("two"))
+		_ = near.Close()
+		got, err := io.ReadAll(far)
+		if took := time.Since(began); took != 30*time.Millisecond || string(got) != "one two" || err != nil {
+			t.Errorf("read %q, %v after %v", got, err, took)
+		}
+		if sent, received := link.Bytes(); sent != 7 || received != 0 {
+			t.Errorf("counted %d sent, %d received", sent, received)
+		}
+	})
+}
+
+// TestCut guards against bytes and connections that pass a link that is cut, and against bytes
+// that are lost when it returns.
+func TestCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link, near, far := connect(t)
+		link.Cut()
+		_, _ = far.Write([]byte("held up"))
+		_ = near.SetReadDeadline(time.Now().Add(time.Hour))
+		buffer := make([]byte, 16)
+		if length, err := near.Read(buffer); err == nil {
+			t.Errorf("read %q over a cut link", buffer[:length])
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := link.Dial(ctx, "tcp", ""); err == nil {
+			t.Error("dialed over a cut link")
+		}
+		link.Mend()
+		_ = near.SetReadDeadline(time.Time{})
+		if length, err := near.Read(buffer); string(buffer[:length]) != "held up" {
+			t.Errorf("read %q, %v after the link returned", buffer[:length], err)
+		}
+		_ = far.Close()
+		if _, err := near.Read(buffer); err == nil {
+			t.Error("the far end's close did not arrive")
+		}
+	})
+}
