--- a/internal/platform/lister/announcer.go
+++ b/internal/platform/lister/announcer.go
@@ -61,8 +61,9 @@
 		announcer.mutex.Lock()
 		instance := announcer.instance
 		announcer.mutex.Unlock()
-		// A heartbeat that fails is made up for by the next one.
-		_ = announcer.client.Announce(ctx, instance)
+		// A heartbeat that fails is made up for by the next one. It is not cancelled, because it
+		// could then still arrive after the instance was taken off the list.
+		_ = announcer.client.Announce(context.WithoutCancel(ctx), instance)
 		select {
 		case <-ticker.C:
 		case <-announcer.changed:
--- a/internal/standin/server/announcement.go
+++ b/internal/standin/server/announcement.go
@@ -12,6 +12,7 @@
 	id        string
 	client    *lister.Client
 	announcer *lister.Announcer
+	stop      func()
 }
 
 // Announce keeps the instance on the list at the addresses. Without addresses it does nothing.
@@ -30,6 +31,7 @@
 		id:        instance.ID,
 		client:    client,
 		announcer: announcer,
+		stop:      stop,
 	}
 	return announcement, func() {
 		stop()
@@ -49,9 +51,12 @@
 	announcement.announcer.SetState(state)
 }
 
-// Withdraw takes the instance off the list. The heartbeat must have ended.
+// Withdraw takes the instance off the list for good.
 func (announcement *Announcement) Withdraw(ctx context.Context) {
-	if announcement.client != nil {
-		_ = announcement.client.Withdraw(ctx, announcement.id)
+	if announcement.announcer == nil {
+		return
 	}
+	// A heartbeat under way would put the instance on the list again.
+	announcement.stop()
+	_ = announcement.client.Withdraw(ctx, announcement.id)
 }
