--- /dev/null
+++ b/internal/client/caller/caller_test.go
@@ -0,0 +1,148 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// TestRepetition guards against calls that are repeated although they may have had an effect,
+// and against calls that are given up although they may be repeated.
+func TestRepetition(t *testing.T) {
+	submit := func(key string) func(client *Client) error {
+		return func(client *Client) error {
+			_, _, err := client.Submit(context.Background(), descriptor.Job{Key: key})
+			return err
+		}
+	}
+	request := func(idempotent bool) func(client *Client) error {
+		return func(client *Client) error {
+			_, _, err := client.Request(context.Background(), presenter.Request{Service: "a", Idempotent: idempotent})
+			return err
+		}
+	}
+	apply := func(client *Client) error {
+		_, err := client.Apply(context.Background(), 1, parser.Config{}, 0)
+		return err
+	}
+	status := func(client *Client) error {
+		_, err := client.Status(context.Background(), "a", false)
+		return err
+	}
+	drain := func(client *Client) error {
+		_, err := client.Drain(context.Background())
+		return err
+	}
+	const cut = "cut the connection"
+	for _, test := range []struct {
+		name     string
+		call     func(client *Client) error
+		code     descriptor.Code
+		attempts int
+		want     descriptor.Code
+	}{
+		{"submit with key, no answer", submit("k"), cut, 4, descriptor.CodeUncertain},
+		{"submit without key, no answer", submit(""), cut, 1, descriptor.CodeUncertain},
+		{"submit without key, refused", submit(""), descriptor.CodeUnavailable, 4, descriptor.CodeUnavailable},
+		{"submit, invalid", submit("k"), descriptor.CodeInvalid, 1, descriptor.CodeInvalid},
+		{"idempotent, uncertain", request(true), descriptor.CodeUncertain, 4, descriptor.CodeUncertain},
+		{"not idempotent, uncertain", request(false), descriptor.CodeUncertain, 1, descriptor.CodeUncertain},
+		{"not idempotent, no answer", request(false), cut, 1, descriptor.CodeUncertain},
+		{"not idempotent, overloaded", request(false), descriptor.CodeOverloaded, 4, descriptor.CodeOverloaded},
+		{"not idempotent, failed", request(false), descriptor.CodeUpstream, 1, descriptor.CodeUpstream},
+		{"apply, no answer", apply, cut, 1, descriptor.CodeUncertain},
+		{"apply, store down", apply, descriptor.CodeUnavailable, 4, descriptor.CodeUnavailable},
+		{"status, no answer", status, cut, 4, descriptor.CodeUnavailable},
+		{"drain, refused", drain, descriptor.CodeUnavailable, 1, descriptor.CodeUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var attempts atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				attempts.Add(1)
+				if test.code == cut {
+					panic(http.ErrAbortHandler)
+				}
+				writer.Header().Set(presenter.HeaderCode, string(test.code))
+				writer.WriteHeader(http.StatusInternalServerError)
+				_, _ = writer.Write([]byte(`{"Code": "` + test.code + `", "RetryAfter": "3s"}`))
+			}))
+			defer server.Close()
+			client := &Client{
+				Servers: []string{server.URL},
+				HTTP:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+				Wait: func(_ context.Context, wait time.Duration) error {
+					if test.code != cut && wait < 3*time.Second {
+						t.Errorf("waits %s, less than the server asks for", wait)
+					}
+					return nil
+				},
+			}
+			var problem *descriptor.Problem
+			if err := test.call(client); !errors.As(err, &problem) || problem.Code != test.want {
+				t.Errorf("got %v", err)
+			}
+			if got := int(attempts.Load()); got != test.attempts {
+				t.Errorf("made %d attempts, want %d", got, test.attempts)
+			}
+		})
+	}
+}
+
+// TestRefusedConnection guards against calls that are not repeated although they were never sent,
+// and against clients that stay with a server that is gone.
+func TestRefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(presenter.HeaderFate, "Done")
+		writer.Header().Set(presenter.HeaderRequest, "r1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	client := &Client{
+		Servers: []string{gone, server.Listener.Addr().String()},
+		Wait:    func(context.Context, time.Duration) error { return nil },
+	}
+	response, id, err := client.Request(context.Background(), presenter.Request{Service: "a"})
+	if err != nil || id != "r1" || response.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %v, %s, %v", response, id, err)
+	}
+}
+
+// FuzzAnswer guards against panics on answers that come from something else than an entry instance.
+func FuzzAnswer(f *testing.F) {
+	f.Add("Conflict", 409, []byte(`{"Code": "Conflict", "Current": {"Revision": 7, "Document": {"Teams": null}}, "Changes": [{}]}`))
+	f.Add("Invalid", 200, []byte(`{"Code": 5, "RetryAfter": "-"}`))
+	f.Add("", 502, []byte(`<html>`))
+	f.Fuzz(func(t *testing.T, code string, status int, body []byte) {
+		result := answer{
+			status: status,
+			header: http.Header{presenter.HeaderCode: {code}},
+			body:   body,
+		}
+		err := result.problem(call{method: http.MethodPost})
+		var problem *descriptor.Problem
+		if err != nil && (!errors.As(err, &problem) || err.Error() == "") {
+			t.Errorf("got %v", err)
+		}
+		if code != "" && err == nil {
+			t.Error("a problem was taken for a success")
+		}
+	})
+}
