--- a/internal/request/queuer/model_test.go
+++ b/internal/request/queuer/model_test.go
@@ -15,13 +15,16 @@
 	"pomelomoor/internal/request/router"
 )
 
-// The benchmarks run a discrete-event model: one member that owns six runners, and requests with
-// exponential service times drawn from a fixed seed. System and baselines see the same requests.
+// The benchmarks run a discrete-event model of requests with exponential service times drawn from
+// a fixed seed. System and baselines see the same requests.
 const (
-	modelSeed    = 7
-	modelRunners = 6
-	modelSlots   = modelRunners * router.SlotsPerRunner
-	meanService  = 20 * time.Millisecond
+	modelSeed   = 7
+	meanService = 20 * time.Millisecond
+	// memberRunners have about as many slots as one entry instance owns, regionRunners those of a
+	// region.
+	memberRunners = 6
+	regionRunners = 17
+	memberSlots   = memberRunners * router.SlotsPerRunner
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -44,11 +47,11 @@
 
 // requests draws arrivals. Demand is relative to what the slots can do. Shape may change the
 // request.
-func requests(length time.Duration, demand func(time.Duration) float64, shape func(*rand.Rand, *request)) []*request {
+func requests(runners int, length time.Duration, demand func(time.Duration) float64, shape func(*rand.Rand, *request)) []*request {
 	random := rand.New(rand.NewPCG(modelSeed, modelSeed))
 	var all []*request
 	for at := time.Duration(0); ; {
-		rate := demand(at) * modelSlots / float64(meanService)
+		rate := demand(at) * float64(runners*router.SlotsPerRunner) / float64(meanService)
 		at += time.Duration(random.ExpFloat64() / rate)
 		if at > length {
 			return all
@@ -82,12 +85,12 @@
 	slots  map[int]router.Slot
 }
 
-func newSystem() *system {
+func newSystem(count int) *system {
 	system := &system{
 		slots: map[int]router.Slot{},
 	}
 	var runners []router.Runner
-	for i := range modelRunners {
+	for i := range count {
 		runners = append(runners, router.Runner{
 			ID:      fmt.Sprint("runner-", i),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1)),
@@ -121,21 +124,19 @@
 	delete(system.slots, id)
 }
 
-// fifo is one shared lane that refuses only what exceeds its length.
+// fifo is one shared lane that refuses nothing.
 type fifo struct {
 	queue []int
 	busy  int
-	limit int
+	slots int
 }
 
 func (fifo *fifo) offer(_ time.Time, id int, _ *request) {
-	if len(fifo.queue) < fifo.limit {
-		fifo.queue = append(fifo.queue, id)
-	}
+	fifo.queue = append(fifo.queue, id)
 }
 
 func (fifo *fifo) next(time.Time) (int, bool) {
-	if len(fifo.queue) == 0 || fifo.busy == modelSlots {
+	if len(fifo.queue) == 0 || fifo.busy == fifo.slots {
 		return 0, false
 	}
 	id := fifo.queue[0]
@@ -209,20 +210,20 @@
 }
 
 // each runs the system and the baselines on fresh copies of the same requests.
-func each(b *testing.B, draw func() []*request, report func(*testing.B, []*request)) {
+func each(b *testing.B, runners int, draw func() []*request, report func(*testing.B, []*request)) {
 	models := map[string]func([]*request) model{
 		"system": func([]*request) model {
-			return newSystem()
+			return newSystem(runners)
 		},
 		"fifo": func([]*request) model {
 			return &fifo{
-				limit: 1 << 20,
+				slots: runners * router.SlotsPerRunner,
 			}
 		},
 		"fifo-dropping": func(all []*request) model {
 			return &dropping{
 				fifo: fifo{
-					limit: 1 << 20,
+					slots: runners * router.SlotsPerRunner,
 				},
 				all: all,
 			}
@@ -256,8 +257,8 @@
 	from, to := epoch.Add(rise+time.Second/6), epoch.Add(length)
 	for _, deadline := range []time.Duration{5 * meanService, 10 * meanService, 50 * meanService} {
 		b.Run(fmt.Sprint("deadline=", deadline), func(b *testing.B) {
-			each(b, func() []*request {
-				return requests(length, func(at time.Duration) float64 {
+			each(b, memberRunners, func() []*request {
+				return requests(memberRunners, length, func(at time.Duration) float64 {
 					return 0.6 + 2.4*min(max((at-rise).Seconds(), 0), 1)
 				}, func(_ *rand.Rand, request *request) {
 					request.item.Deadline = request.at.Add(deadline)
@@ -280,7 +281,7 @@
 						good += end.Sub(start)
 					}
 				}
-				slotTime := float64(modelSlots * to.Sub(from))
+				slotTime := float64(memberSlots * to.Sub(from))
 				b.ReportMetric(100*float64(inTime)/float64(served)*float64(used)/slotTime, "goodput-%")
 				b.ReportMetric(100*float64(good)/slotTime, "slot-time-%")
 			})
@@ -290,36 +291,50 @@
 
 // BenchmarkStragglers loads the slots to 85 % with 5 % of the requests 20 times as long.
 func BenchmarkStragglers(b *testing.B) {
-	const length = 60 * time.Second
-	each(b, func() []*request {
-		return requests(length, func(time.Duration) float64 {
-			return 0.85 / (0.95 + 0.05*20)
-		}, func(random *rand.Rand, request *request) {
-			if random.IntN(20) == 0 {
-				request.item.Lane = parser.LaneLong
-				request.service *= 20
-			}
-			request.item.Deadline = request.at.Add(time.Hour)
-		})
-	}, func(b *testing.B, all []*request) {
-		waits := map[parser.Lane][]time.Duration{}
-		for _, request := range all {
-			if !request.started.IsZero() {
-				waits[request.item.Lane] = append(waits[request.item.Lane], request.started.Sub(request.at))
-			}
+	for _, runners := range []int{memberRunners, regionRunners} {
+		for _, lengths := range []string{"exponential", "constant"} {
+			b.Run(fmt.Sprintf("runners=%d/lengths=%s", runners, lengths), func(b *testing.B) {
+				each(b, runners, func() []*request {
+					return stragglers(runners, lengths == "constant")
+				}, reportWaits)
+			})
+		}
+	}
+}
+
+func stragglers(runners int, constant bool) []*request {
+	return requests(runners, 60*time.Second, func(time.Duration) float64 {
+		return 0.85 / (0.95 + 0.05*20)
+	}, func(random *rand.Rand, request *request) {
+		if constant {
+			request.service = meanService
 		}
-		b.ReportMetric(percentile(waits[parser.LaneShort], 0.99), "short-p99-ms")
-		b.ReportMetric(percentile(waits[parser.LaneLong], 0.99), "long-p99-ms")
-		served := len(waits[parser.LaneShort]) + len(waits[parser.LaneLong])
-		b.ReportMetric(100*float64(served)/float64(len(all)), "served-%")
+		if random.IntN(20) == 0 {
+			request.item.Lane = parser.LaneLong
+			request.service *= 20
+		}
+		request.item.Deadline = request.at.Add(time.Hour)
 	})
 }
 
+func reportWaits(b *testing.B, all []*request) {
+	waits := map[parser.Lane][]time.Duration{}
+	for _, request := range all {
+		if !request.started.IsZero() {
+			waits[request.item.Lane] = append(waits[request.item.Lane], request.started.Sub(request.at))
+		}
+	}
+	b.ReportMetric(percentile(waits[parser.LaneShort], 0.99), "short-p99-ms")
+	b.ReportMetric(percentile(waits[parser.LaneLong], 0.99), "long-p99-ms")
+	served := len(waits[parser.LaneShort]) + len(waits[parser.LaneLong])
+	b.ReportMetric(100*float64(served)/float64(len(all)), "served-%")
+}
+
 // BenchmarkFairness has a normal caller that asks for a fifth of the slots and a greedy one that
 // asks for three times all of them.
 func BenchmarkFairness(b *testing.B) {
-	each(b, func() []*request {
-		return requests(10*time.Second, func(time.Duration) float64 {
+	each(b, memberRunners, func() []*request {
+		return requests(memberRunners, 10*time.Second, func(time.Duration) float64 {
 			return 3.2
 		}, func(random *rand.Rand, request *request) {
 			request.item.Caller = "greedy"
@@ -344,16 +359,8 @@
 // BenchmarkDecision takes one request through admission, queue, choice of runner and release with
 // 50 runners and 1,000 requests of 100 callers waiting.
 func BenchmarkDecision(b *testing.B) {
-	system := newSystem()
-	var runners []router.Runner
-	for i := range 50 {
-		runners = append(runners, router.Runner{
-			ID:      fmt.Sprint("runner-", i),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1)),
-		})
-	}
+	system := newSystem(50)
 	system.router.SetMembers([]string{"a", "b", "c"})
-	system.router.SetRunners(epoch, runners)
 	ids := make([]string, 4096)
 	for i := range ids {
 		ids[i] = strconv.Itoa(i)
--- a/internal/request/router/health.go
+++ b/internal/request/router/health.go
@@ -63,7 +63,9 @@
 	// window bounds the slots in use; it starts at 1, grows with successes and shrinks with errors.
 	window float64
 	// slowness is the mean of latencies relative to the norm of their lane.
-	slowness     float64
+	slowness float64
+	// room is what the runner offers, as counted in Router.total.
+	room         room
 	seen         time.Time
 	pause        time.Duration
 	pausedUntil  time.Time
@@ -113,17 +115,6 @@
 	return min(share, int(runner.window))
 }
 
-func (runner *runner) free(now time.Time, lane parser.Lane, typical float64) int {
-	if !runner.open(now) || now.Before(runner.coolUntil) {
-		return 0
-	}
-	slots := (runner.owned &^ runner.busy & laneMask(lane)).count()
-	if slots == 0 {
-		return 0
-	}
-	return max(min(slots, runner.allowed(now, typical)-runner.busy.count()), 0)
-}
-
 func (runner *runner) slownessAt(now time.Time) float64 {
 	if runner.slowness <= evenSlowness {
 		return runner.slowness
@@ -163,6 +154,7 @@
 // runner was paused by it.
 func (router *Router) Release(now time.Time, slot Slot, outcome Outcome, took time.Duration) (paused bool) {
 	runner := slot.runner
+	defer router.update(now, runner)
 	runner.busy &^= 1 << slot.Index
 	runner.long &^= 1 << slot.Index
 	norm := &router.norms[0]
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"math"
 	"math/bits"
 	"net/netip"
 	"slices"
@@ -22,6 +23,9 @@
 	connectionsPerSlot   = ConnectionsPerRunner / SlotsPerRunner
 )
 
+// headroomFactor covers all but a few in a hundred of the variations of short work.
+const headroomFactor = 2.0
+
 // longSlots are the slots that long work may take: half of them, whoever owns them, so that the
 // bound holds over all members without an exchange.
 const longSlots = mask(1<<(SlotsPerRunner/2) - 1)
@@ -78,6 +82,9 @@
 	norms   [2]float64
 	typical float64
 	offset  int
+	// total sums the rooms of all runners. It holds until staleAt or a change.
+	total   room
+	staleAt time.Time
 }
 
 // SetMembers sets the live entry instances of the region. Self always counts as one.
@@ -92,6 +99,7 @@
 	for _, runner := range router.runners {
 		runner.owned = router.own(runner.ID)
 	}
+	router.staleAt = time.Time{}
 }
 
 // own returns the slots of a runner that belong to this instance by rendezvous hashing.
@@ -157,6 +165,7 @@
 	slices.SortFunc(router.runners, func(a, b *runner) int {
 		return strings.Compare(a.ID, b.ID)
 	})
+	router.staleAt = time.Time{}
 }
 
 // Share returns what this instance may use of a runner.
@@ -175,11 +184,14 @@
 // Choose reserves a free own slot for the lane on the runner with the lowest expected latency.
 // The runner named avoid is taken only when no other has a free slot.
 func (router *Router) Choose(now time.Time, lane parser.Lane, avoid string) (Slot, bool) {
+	if _, free := router.Slots(now, lane); free == 0 {
+		return Slot{}, false
+	}
 	best, bestScore := (*runner)(nil), 0.0
 	router.offset++
 	for i := range router.runners {
 		candidate := router.runners[(router.offset+i)%len(router.runners)]
-		if candidate.free(now, lane, router.typical) == 0 {
+		if candidate.room.freeIn(lane) == 0 {
 			continue
 		}
 		score := candidate.score(now)
@@ -193,33 +205,36 @@
 	if best == nil {
 		return Slot{}, false
 	}
-	return best.reserve(lane), true
+	slot := best.reserve(lane)
+	router.update(now, best)
+	return slot, true
 }
 
 // Slots returns how many own slots the lane's work may take in turn, and how many are free now.
 func (router *Router) Slots(now time.Time, lane parser.Lane) (usable, free int) {
-	mask := laneMask(lane)
-	others := 0
-	for _, runner := range router.runners {
-		if !runner.open(now) {
-			continue
-		}
-		usable += min((runner.owned & mask).count(), runner.allowed(now, router.typical))
-		free += runner.free(now, lane, router.typical)
-		if lane == parser.LaneLong {
-			others += (runner.busy &^ runner.long & mask).count()
-		} else {
-			others += runner.long.count()
-		}
-	}
+	router.refresh(now)
+	total := &router.total
 	if lane == parser.LaneLong {
+		usable, free = total.usableLong, total.freeLong
 		// Lanes take turns for the slots that both may use, so half of these come back.
-		others /= 2
+		usable -= total.busyShortOnLong / 2
+		if 2*total.busyLong > total.usableLong {
+			free = min(free, total.free-headroom(total.busyShort))
+		}
+	} else {
+		usable, free = total.usable-total.busyLong, total.free
 	}
-	if usable == 0 {
+	if total.usable == 0 || lane == parser.LaneLong && total.usableLong == 0 {
 		return 0, 0
 	}
-	return max(usable-others, 1), free
+	return max(usable, 1), max(free, 0)
+}
+
+// headroom returns how many free slots long work leaves once it holds half of what it may. Short
+// work in progress varies by about its square root, and a slot that long work took is gone for
+// the time of many short requests.
+func headroom(busyShort int) int {
+	return int(math.Ceil(headroomFactor * math.Sqrt(float64(busyShort))))
 }
 
 // Wake returns when a runner that is paused takes work again, or zero when none is paused.
