Add the adapter between an entry instance's parts and its public API

Cause: the handler declares small interfaces that the parts have to meet. Change: package adapter; messenger.NotSent tells calls that had no effect.

--- /dev/null
+++ b/internal/entry/adapter/adapter.go
@@ -0,0 +1,57 @@
+// Package adapter joins the parts of an entry instance to the interfaces of the public API.
+package adapter
+
+import (
+	"context"
+
+	"pomelomoor/internal/entry/dispatcher"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/request/forwarder"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Jobs implements handler.Jobs.
+type Jobs struct {
+	Dispatcher *dispatcher.Dispatcher
+}
+
+// Submit implements handler.Jobs.
+func (jobs Jobs) Submit(ctx context.Context, job descriptor.Job) (descriptor.JobStatus, bool, error) {
+	status, existed, err := jobs.Dispatcher.Submit(ctx, job)
+	return status, !existed, err
+}
+
+// Status implements handler.Jobs.
+func (jobs Jobs) Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error) {
+	return jobs.Dispatcher.Status(ctx, id, explain)
+}
+
+// Cancel implements handler.Jobs.
+func (jobs Jobs) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
+	return jobs.Dispatcher.Cancel(ctx, id)
+}
+
+// Requests implements handler.Requests.
+type Requests struct {
+	Forwarder *forwarder.Forwarder
+}
+
+// Handle implements handler.Requests.
+func (requests Requests) Handle(ctx context.Context, request presenter.Request) (presenter.Response, error) {
+	result := requests.Forwarder.Do(ctx, forwarder.Request{
+		Service:    request.Service,
+		Caller:     request.Caller,
+		Labels:     request.Labels,
+		Deadline:   request.Deadline,
+		Idempotent: request.Idempotent,
+		Body:       request.Body,
+	})
+	if result.Problem != nil {
+		return presenter.Response{}, result.Problem
+	}
+	return presenter.Response{
+		Status: result.Status,
+		Body:   result.Body,
+		Fate:   result.Fate,
+	}, nil
+}
--- /dev/null
+++ b/internal/entry/adapter/configs.go
@@ -0,0 +1,153 @@
+package adapter
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/config/applier"
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/member/exchanger"
+	"pomelomoor/internal/member/messenger"
+	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/node/logger"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// confirmPause is the time between questions to an instance that does not have a revision yet.
+const confirmPause = 50 * time.Millisecond
+
+// Configs implements handler.Configs.
+type Configs struct {
+	// Self is the instance's ID.
+	Self      string
+	Applier   *applier.Applier
+	Exchanger *exchanger.Exchanger
+	Messenger *messenger.Messenger
+	Log       *slog.Logger
+}
+
+// Current implements handler.Configs.
+func (configs Configs) Current(context.Context) (presenter.ConfigDocument, error) {
+	compiled := configs.Applier.Current()
+	return presenter.ConfigDocument{
+		Revision: compiled.Revision,
+		Document: compiled.Config,
+	}, nil
+}
+
+// Apply implements handler.Configs.
+func (configs Configs) Apply(ctx context.Context, base uint64, config parser.Config, wait time.Duration) (presenter.Applied, error) {
+	revision, err := configs.Applier.Apply(ctx, base, config)
+	var conflict *applier.Conflict
+	if errors.As(err, &conflict) {
+		logger.Log(ctx, configs.Log, logger.EventConfigConflict,
+			slog.Uint64("Base", conflict.Base), slog.Uint64("Revision", conflict.Revision))
+		return presenter.Applied{}, present(conflict)
+	}
+	if err != nil {
+		return presenter.Applied{}, err
+	}
+	logger.Log(ctx, configs.Log, logger.EventConfigApplied, slog.Uint64("Revision", revision))
+	applied := presenter.Applied{
+		Revision: revision,
+	}
+	if wait > 0 {
+		applied.Waiting = configs.confirm(ctx, revision, wait)
+	}
+	return applied, nil
+}
+
+func present(conflict *applier.Conflict) *presenter.Conflict {
+	return &presenter.Conflict{
+		Problem: descriptor.Problem{
+			Code:    descriptor.CodeConflict,
+			Message: conflict.Error(),
+		},
+		Base: conflict.Base,
+		Current: presenter.ConfigDocument{
+			Revision: conflict.Revision,
+			Document: conflict.Current,
+		},
+		Proposed: conflict.Proposed,
+		Changes:  changes(conflict.Current, conflict.Proposed),
+	}
+}
+
+func changes(before, after parser.Config) []presenter.Change {
+	var list []presenter.Change
+	for _, change := range parser.Diff(before, after) {
+		list = append(list, presenter.Change{
+			Path: change.Item,
+			From: change.Before,
+			To:   change.After,
+		})
+	}
+	return list
+}
+
+// confirm asks all known instances until each has the revision, and returns those that do not when
+// the wait ends.
+func (configs Configs) confirm(ctx context.Context, revision uint64, wait time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var mutex sync.Mutex
+	var waiting []string
+	var group sync.WaitGroup
+	for _, member := range append(configs.Exchanger.Live(), configs.Exchanger.Silent()...) {
+		if member.GetId() == configs.Self {
+			continue
+		}
+		group.Go(func() {
+			if configs.confirmMember(ctx, member, revision) {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			waiting = append(waiting, member.GetId())
+		})
+	}
+	group.Wait()
+	slices.Sort(waiting)
+	return waiting
+}
+
+func (configs Configs) confirmMember(ctx context.Context, member *peerpb.Member, revision uint64) bool {
+	address, ok := exchanger.Address(member)
+	if !ok {
+		return false
+	}
+	client, err := configs.Messenger.Client(address, member.GetRegion())
+	if err != nil {
+		return false
+	}
+	for {
+		// No document is wanted, only the revision.
+		reply, err := client.FetchConfig(ctx, &peerpb.FetchConfigRequest{
+			Above: math.MaxUint64,
+		})
+		if err == nil && reply.GetRevision() >= revision {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(confirmPause):
+		}
+	}
+}
+
+// Diff implements handler.Configs.
+func (configs Configs) Diff(_ context.Context, config parser.Config) (presenter.Difference, error) {
+	compiled := configs.Applier.Current()
+	return presenter.Difference{
+		Revision: compiled.Revision,
+		Changes:  changes(compiled.Config, config),
+	}, nil
+}
--- /dev/null
+++ b/internal/entry/adapter/instances.go
@@ -0,0 +1,66 @@
+package adapter
+
+import (
+	"context"
+	"time"
+
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/member/exchanger"
+	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Instances implements handler.Instances.
+type Instances struct {
+	// Self is the instance's ID.
+	Self      string
+	Exchanger *exchanger.Exchanger
+}
+
+// Instances implements handler.Instances.
+func (instances Instances) Instances(context.Context) ([]presenter.Instance, error) {
+	var list []presenter.Instance
+	for _, member := range instances.Exchanger.Live() {
+		state := "Live"
+		if member.GetLeaving() {
+			state = "Leaving"
+		}
+		list = append(list, instances.document(member, state))
+	}
+	for _, member := range instances.Exchanger.Silent() {
+		list = append(list, instances.document(member, "Suspected"))
+	}
+	return list, nil
+}
+
+func (instances Instances) document(member *peerpb.Member, state string) presenter.Instance {
+	address, _ := exchanger.Address(member)
+	document := presenter.Instance{
+		ID:             member.GetId(),
+		Region:         member.GetRegion(),
+		Site:           member.GetSite(),
+		Address:        address,
+		State:          state,
+		Self:           member.GetId() == instances.Self,
+		ConfigRevision: member.GetConfigRevision(),
+		StoreReachable: member.GetStoreReachable(),
+		Heard:          instances.Exchanger.Heard(member.GetId()),
+		FreeSlots:      map[string]int{},
+	}
+	if document.Self {
+		document.Heard = time.Now()
+	}
+	for _, shard := range member.GetShards() {
+		document.Shards = append(document.Shards, presenter.Shard{
+			ID:       descriptor.ShardID(shard.GetShard()),
+			Epoch:    shard.GetEpoch(),
+			Capacity: exchanger.Resources(shard.GetCapacity()),
+			Free:     exchanger.Resources(shard.GetFree()),
+			Waiting:  exchanger.Resources(shard.GetWaiting()),
+		})
+	}
+	for _, free := range member.GetFreeSlots() {
+		document.FreeSlots[free.GetService()] = int(free.GetSlots())
+	}
+	return document
+}
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -12,9 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
+	"pomelomoor/internal/member/messenger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -340,7 +339,7 @@
 // transport turns a failed call to a peer into a Problem. Only a connection that was never made
 // proves that the call had no effect.
 func transport(err error) error {
-	if status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), "connection error") {
+	if messenger.NotSent(err) {
 		return descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "the owner cannot be reached: %v", err)
 	}
 	return descriptor.NewProblem(descriptor.CodeUncertain, retryAfter,
--- a/internal/member/messenger/messenger.go
+++ b/internal/member/messenger/messenger.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,10 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
 
 	"pomelomoor/internal/member/peerpb"
 )
@@ -177,6 +180,11 @@
 	return copied
 }
 
+// NotSent reports whether a call failed because no connection could be made, so that it had no effect.
+func NotSent(err error) bool {
+	return status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), "connection error")
+}
+
 // Forget closes the connections to instances that keep reports as gone.
 func (messenger *Messenger) Forget(keep func(netip.AddrPort) bool) {
 	messenger.mutex.Lock()
--- a/internal/node/tracer/tracer.go
+++ b/internal/node/tracer/tracer.go
@@ -86,6 +86,11 @@
 	return tracer.tracer.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(attributes...))
 }
 
+// OpenTelemetry returns the tracer for packages that use OpenTelemetry's own interface.
+func (tracer *Tracer) OpenTelemetry() trace.Tracer {
+	return tracer.tracer
+}
+
 // Fail marks span as failed by err. A nil err changes nothing.
 func Fail(span trace.Span, err error) {
 	if err != nil {
