--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -77,6 +77,8 @@
 	repetition repetition
 	// extra is added to the client's time limit.
 	extra time.Duration
+	// deadline is told to the server as the time that is left, because clocks may differ.
+	deadline time.Time
 }
 
 // answer is a complete answer of an entry instance.
@@ -164,6 +166,10 @@
 	for name, values := range call.header {
 		request.Header[name] = values
 	}
+	if !call.deadline.IsZero() {
+		left := min(time.Until(call.deadline), presenter.MaxTimeout)
+		request.Header.Set(presenter.HeaderTimeout, left.String())
+	}
 	if call.body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
--- a/internal/client/caller/caller_test.go
+++ b/internal/client/caller/caller_test.go
@@ -109,7 +109,10 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if left, err := time.ParseDuration(request.Header.Get(presenter.HeaderTimeout)); err != nil || left <= 0 || left > time.Hour {
+			t.Errorf("time left: %s, %v", left, err)
+		}
 		writer.Header().Set(presenter.HeaderFate, "Done")
 		writer.Header().Set(presenter.HeaderRequest, "r1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -119,7 +122,10 @@
 		Servers: []string{gone, server.Listener.Addr().String()},
 		Wait:    func(context.Context, time.Duration) error { return nil },
 	}
-	response, id, err := client.Request(context.Background(), presenter.Request{Service: "a"})
+	response, id, err := client.Request(context.Background(), presenter.Request{
+		Service:  "a",
+		Deadline: time.Now().Add(time.Hour),
+	})
 	if err != nil || id != "r1" || response.Status != http.StatusServiceUnavailable {
 		t.Errorf("got %v, %s, %v", response, id, err)
 	}
--- a/internal/client/caller/calls.go
+++ b/internal/client/caller/calls.go
@@ -76,7 +76,6 @@
 		repetition = always
 	}
 	if !request.Deadline.IsZero() {
-		header.Set(presenter.HeaderDeadline, request.Deadline.UTC().Format(time.RFC3339Nano))
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
 		defer cancel()
@@ -94,6 +93,7 @@
 		header:     header,
 		body:       request.Body,
 		repetition: repetition,
+		deadline:   request.Deadline,
 	})
 	if err != nil {
 		return presenter.Response{}, "", err
--- a/internal/entry/handler/handler_test.go
+++ b/internal/entry/handler/handler_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/node/loader"
+	"pomelomoor/internal/node/meter"
 	"pomelomoor/internal/node/tracer"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -169,7 +171,7 @@
 		{"kind", call("POST /v1/jobs", asJSON, `{"Name": "a", "Caller": "b", "Team": "c", "Kind": "Cron", "Task": {"MilliCPU": 1}}`), nil, 400, `Invalid Kind: "Cron" is none of Service, Batch, Gang`},
 		{"unknown fields", call("POST /v1/jobs", asJSON, `{"name": "a", "Task": {"CPU": 1}}`), nil, 400, "Invalid name: is not known; Task.CPU: is not known"},
 		{"selector", call("POST /v1/jobs", asJSON, `{"Where": "a==", "Name": "a"`+jobEnd), nil, 400, "Invalid Where"},
-		{"long job", call("POST /v1/jobs", asJSON+"X: y\r\n", `{"Payload": "`+strings.Repeat("x", MaxJobDocument)+`"}`), nil, 413, "TooLarge"},
+		{"long job", call("POST /v1/jobs", asJSON+"X: y\r\n", `{"Payload": "`+strings.Repeat("x", presenter.MaxJobDocument)+`"}`), nil, 413, "TooLarge"},
 		{"key", call("POST /v1/jobs", asJSON, `{"Name": "a"`+jobEnd), fail(descriptor.CodeKeyConflict), 409, "KeyConflict"},
 		{"impossible", call("POST /v1/jobs", asJSON, `{"Name": "a"`+jobEnd), fail(descriptor.CodeImpossible), 422, "Impossible"},
 		{"no job", get, fail(descriptor.CodeNotFound), 404, "NotFound"},
@@ -287,7 +289,6 @@
 	}, func(handler *Handler) {
 		handler.Limits.Calls = 2
 		handler.Limits.BufferBytes = bodyStep
-		handler.Tracer, _ = tracer.New("a", 10)
 	})
 	results := make(chan int)
 	for range 2 {
@@ -300,10 +301,8 @@
 	if response, document := exchange(t, address, call("POST /v1/requests/desk", caller, "")); document["Code"] != "Overloaded" {
 		t.Errorf("third call: %d %v", response.StatusCode, document)
 	}
-	header := asJSON + "Traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n"
-	response, document := exchange(t, address, call("PUT /v1/config?Base=7", header, "{}"))
-	if response.StatusCode != http.StatusOK || response.Header.Get(presenter.HeaderTrace) != "0af7651916cd43dd8448eb211c80319c" {
-		t.Errorf("apply during an overload: %d %v %v", response.StatusCode, document, response.Header)
+	if response, document := exchange(t, address, call("PUT /v1/config?Base=7", asJSON, "{}")); response.StatusCode != http.StatusOK {
+		t.Errorf("apply during an overload: %d %v", response.StatusCode, document)
 	}
 	close(release)
 	for range 2 {
@@ -319,3 +318,41 @@
 		t.Errorf("budget was not given back: %d", response.StatusCode)
 	}
 }
+
+// TestObserve guards against calls that leave no span in the caller's trace or no metric,
+// and against probes that fill the ring of spans.
+func TestObserve(t *testing.T) {
+	spans, _ := tracer.New("a", 10)
+	metrics, stop := meter.New(0)
+	backend := &backend{}
+	routes := (&Handler{
+		Configs:   backend,
+		Readiness: backend,
+		Metrics:   metrics,
+		Traces:    spans,
+		Tracer:    spans,
+		Scope:     metrics.Scope,
+	}).Routes()
+	get := func(path string) *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodGet, path, nil)
+		request.Header.Set("Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+		recorder := httptest.NewRecorder()
+		routes.ServeHTTP(recorder, request)
+		return recorder
+	}
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	if answer := get("/v1/config"); answer.Header().Get(presenter.HeaderTrace) != trace {
+		t.Errorf("got %v", answer.Header())
+	}
+	get("/v1/ready")
+	got := get("/v1/traces?Trace=" + trace).Body.String()
+	if strings.Count(got, `"Name"`) != 1 || !strings.Contains(got, `"Parent":"b7ad6b7169203331","Name":"GET /v1/config"`) {
+		t.Errorf("got spans %s", got)
+	}
+	if err := stop(); err != nil {
+		t.Fatal(err)
+	}
+	if got := get("/v1/metrics").Body.String(); !strings.Contains(got, `Calls{Route="/v1/config",Status="200"} 1`) {
+		t.Errorf("got metrics\n%s", got)
+	}
+}
--- a/internal/entry/handler/jobs.go
+++ b/internal/entry/handler/jobs.go
@@ -11,13 +11,10 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
-// MaxJobDocument is the largest job description in bytes. Escapes may make the payload six times as long.
-const MaxJobDocument = 6*descriptor.MaxPayload + 64<<10
-
 var jobPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,255}$`)
 
 func (server *server) submit(writer http.ResponseWriter, request *http.Request) {
-	body, release, ok := server.readJSON(server.work, writer, request, MaxJobDocument)
+	body, release, ok := server.readJSON(server.work, writer, request, presenter.MaxJobDocument)
 	if !ok {
 		return
 	}
--- a/internal/entry/presenter/parse.go
+++ b/internal/entry/presenter/parse.go
@@ -21,6 +21,9 @@
 	MaxApplyWait = time.Minute
 )
 
+// MaxJobDocument is the largest job description in bytes. Escapes may make the payload six times as long.
+const MaxJobDocument = 6*descriptor.MaxPayload + 64<<10
+
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 
 // ParseJob reads a job description strictly and returns all its faults joined.
