--- /dev/null
+++ b/internal/client/commander/commands.go
@@ -0,0 +1,262 @@
+package commander
+
+import (
+	"crypto/rand"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/client/caller"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/node/logger"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// errNotLinked means that the program was built without the part that the command runs.
+var errNotLinked = errors.New("this program was built without that command")
+
+type entryCommand struct {
+	Settings string     `required:"" placeholder:"FILE" help:"Settings file of the instance, in JSON."`
+	LogLevel slog.Level `default:"INFO" help:"Least level of events to log: DEBUG, INFO, WARN or ERROR."`
+}
+
+// Run logs to standard error.
+func (command *entryCommand) Run(session *session) error {
+	if session.Entry == nil {
+		return errNotLinked
+	}
+	log := logger.New(session.Stderr, command.LogLevel)
+	settings, err := session.readSettings(command.Settings)
+	if err != nil {
+		logger.Log(session.ctx, log, logger.EventSettingsRefused, slog.String("File", command.Settings), logger.Error(err))
+		return err
+	}
+	return session.Entry(session.ctx, settings, log)
+}
+
+type applyCommand struct {
+	File string        `arg:"" help:"Configuration, or the edited output of get; - is standard input."`
+	Base string        `placeholder:"REVISION" help:"Revision that the file is based on, or current to overwrite what is in force. The output of get contains it."`
+	Wait time.Duration `default:"10s" help:"How long to wait until all instances have confirmed."`
+}
+
+func (command *applyCommand) Run(session *session) error {
+	config, revision, known, err := session.readConfig(command.File)
+	if err != nil {
+		return err
+	}
+	base, err := session.base(command.Base, revision, known)
+	if err != nil {
+		return err
+	}
+	applied, err := session.client.Apply(session.ctx, base, config, command.Wait)
+	if err != nil {
+		return err
+	}
+	return session.printer.Applied(applied)
+}
+
+type getCommand struct{}
+
+func (*getCommand) Run(session *session) error {
+	config, err := session.client.Config(session.ctx)
+	if err != nil {
+		return err
+	}
+	return session.printer.Config(config)
+}
+
+type diffCommand struct {
+	File     string `arg:"" help:"Configuration, or the edited output of get; - is standard input."`
+	ExitCode bool   `help:"Exit with code 9 when there are changes."`
+}
+
+func (command *diffCommand) Run(session *session) error {
+	config, _, _, err := session.readConfig(command.File)
+	if err != nil {
+		return err
+	}
+	difference, err := session.client.Diff(session.ctx, config)
+	if err != nil {
+		return err
+	}
+	if err := session.printer.Difference(difference); err != nil {
+		return err
+	}
+	if command.ExitCode && len(difference.Changes) > 0 {
+		return &exitError{
+			code: ExitDiffers,
+		}
+	}
+	return nil
+}
+
+type submitCommand struct {
+	File string        `arg:"" help:"Job description in JSON; - is standard input."`
+	Key  string        `help:"Idempotency key; it replaces the one in the file. Without any, a random one is used."`
+	Wait bool          `help:"Wait until the job has ended and print its state."`
+	Poll time.Duration `default:"1s" help:"Time between queries of --wait."`
+}
+
+func (command *submitCommand) Run(session *session) error {
+	document, err := session.read(command.File, presenter.MaxJobDocument)
+	if err != nil {
+		return err
+	}
+	job, err := presenter.ParseJob(document)
+	if err != nil {
+		return errors.Wrap(err, command.File)
+	}
+	if command.Key != "" {
+		job.Key = command.Key
+	}
+	if job.Key == "" {
+		// A key of its own makes the repetitions of this call the same submission.
+		job.Key = rand.Text()
+	}
+	status, _, err := session.client.Submit(session.ctx, job)
+	if err != nil {
+		return err
+	}
+	if !command.Wait {
+		return session.printer.Submitted(status)
+	}
+	return session.await(status, command.Poll)
+}
+
+// await queries a job until its fate is final or unknown, and prints it.
+func (session *session) await(status descriptor.JobStatus, poll time.Duration) error {
+	for {
+		code := 0
+		switch status.Fate.Fate {
+		case "Done":
+		case "Unknown":
+			code = ExitUncertain
+		case "Failed", "NotRun":
+			code = ExitNotDone
+		default:
+			if err := caller.Sleep(session.ctx, poll); err != nil {
+				return errors.Wrapf(err, "the wait for job %s ended", status.ID)
+			}
+			next, err := session.client.Status(session.ctx, status.ID, false)
+			if err != nil {
+				return err
+			}
+			status = next
+			continue
+		}
+		err := session.printer.Status(status)
+		if err == nil && code != 0 {
+			return &exitError{
+				code: code,
+			}
+		}
+		return err
+	}
+}
+
+type statusCommand struct {
+	ID descriptor.JobID `arg:"" help:"ID of the job."`
+}
+
+func (command *statusCommand) Run(session *session) error {
+	return session.show(session.client.Status(session.ctx, command.ID, false))
+}
+
+type explainCommand struct {
+	ID descriptor.JobID `arg:"" help:"ID of the job."`
+}
+
+func (command *explainCommand) Run(session *session) error {
+	return session.show(session.client.Status(session.ctx, command.ID, true))
+}
+
+type cancelCommand struct {
+	ID descriptor.JobID `arg:"" help:"ID of the job."`
+}
+
+func (command *cancelCommand) Run(session *session) error {
+	return session.show(session.client.Cancel(session.ctx, command.ID))
+}
+
+func (session *session) show(status descriptor.JobStatus, err error) error {
+	if err != nil {
+		return err
+	}
+	return session.printer.Status(status)
+}
+
+type drainCommand struct{}
+
+func (*drainCommand) Run(session *session) error {
+	if len(session.client.Servers) != 1 {
+		return &exitError{
+			code: ExitUsage,
+			err:  errors.New("drain needs one --server, the address of the instance itself"),
+		}
+	}
+	state, err := session.client.Drain(session.ctx)
+	if err != nil {
+		return err
+	}
+	return session.printer.Line(state, "%s is draining", session.client.Servers[0])
+}
+
+type instancesCommand struct{}
+
+func (*instancesCommand) Run(session *session) error {
+	instances, err := session.client.Instances(session.ctx)
+	if err != nil {
+		return err
+	}
+	return session.printer.Instances(instances)
+}
+
+type settingsCommand struct {
+	Check settingsCheckCommand `cmd:"" help:"Check a settings file and report all its faults."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" help:"Settings file; - is standard input."`
+}
+
+// Run prints the settings with their defaults as JSON on request.
+func (command *settingsCheckCommand) Run(session *session) error {
+	settings, err := session.readSettings(command.File)
+	if err != nil {
+		return err
+	}
+	return session.printer.Line(settings, "%s is valid", command.File)
+}
+
+type localCommand struct {
+	File     string     `arg:"" help:"Description of the system and its load, in JSON."`
+	LogLevel slog.Level `default:"WARN" help:"Least level of events to log: DEBUG, INFO, WARN or ERROR."`
+}
+
+// maxLocalDocument is the largest description of a local system in bytes.
+const maxLocalDocument = 4 << 20
+
+func (command *localCommand) Run(session *session) error {
+	if session.Local == nil {
+		return errNotLinked
+	}
+	document, err := session.read(command.File, maxLocalDocument)
+	if err != nil {
+		return err
+	}
+	return session.Local(session.ctx, LocalOptions{
+		File:     command.File,
+		Document: document,
+		JSON:     session.printer.JSON,
+		Report:   session.Stdout,
+		Log:      logger.New(session.Stderr, command.LogLevel),
+	})
+}
+
+type versionCommand struct{}
+
+func (*versionCommand) Run(session *session) error {
+	return session.printer.Line(map[string]string{"Version": session.Version}, "pomelomoor %s", session.Version)
+}
