--- a/internal/platform/executor/executor.go
+++ b/internal/platform/executor/executor.go
@@ -34,7 +34,13 @@
 	Shard descriptor.ShardID
 	// Epoch is the sender's ownership epoch. The worker refuses a lower one than it has seen for the shard.
 	Epoch uint64
+	// Ticket is that of the shard's latest reply from the worker. When it is not the latest any more, or is
+	// older than a Lease above 0, the worker carries out nothing, so that a message which arrives late
+	// starts no run.
+	// Empty means that the order is not checked.
+	Ticket string
 	// Lease is how long the shard's tasks may run after this message without another one.
+	// It never shortens a lease, so that 0 asks for the report only.
 	Lease time.Duration
 	// Start lists runs to start. A run that the worker already knows is not started again.
 	Start []Start
@@ -78,9 +84,13 @@
 	Worker descriptor.WorkerID
 	// Incarnation changes whenever the worker lost its state.
 	Incarnation string
-	Place       descriptor.Place
-	Labels      descriptor.Labels
-	Capacity    descriptor.Resources
+	// Ticket is what the shard's next message carries.
+	Ticket string
+	// Stale means that the commands were not carried out because of the message's ticket.
+	Stale    bool
+	Place    descriptor.Place
+	Labels   descriptor.Labels
+	Capacity descriptor.Resources
 	// Leaving means that the worker takes no new runs.
 	Leaving bool
 	// Running lists the shard's runs on the worker.
--- /dev/null
+++ b/internal/shard/controller/controller_test.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/registrar"
+	"pomelomoor/internal/work/descriptor"
+)
+
+func (world *world) submit(job descriptor.Job) descriptor.JobID {
+	world.nonce++
+	world.request++
+	id := registrar.NewJobID("hof-0", &job, world.now, world.nonce)
+	world.jobs[id] = job
+	world.step(world.owner(), Accept{
+		Request: world.request,
+		ID:      id,
+		Job:     job,
+	})
+	return id
+}
+
+func drawJob(t *rapid.T) descriptor.Job {
+	kind := rapid.SampledFrom([]descriptor.Kind{
+		descriptor.KindBatch, descriptor.KindBatch, descriptor.KindGang, descriptor.KindService,
+	}).Draw(t, "kind")
+	return descriptor.Job{
+		Name:    "job",
+		Caller:  "yard",
+		Team:    "assay",
+		Kind:    kind,
+		Urgency: rapid.SampledFrom([]descriptor.Urgency{descriptor.UrgencyHigh, descriptor.UrgencyLow}).Draw(t, "urgency"),
+		Tasks:   rapid.IntRange(1, 3).Draw(t, "tasks"),
+		Task: descriptor.Resources{
+			MilliCPU:    int64(rapid.IntRange(1, 4).Draw(t, "size")) * 1000,
+			MemoryBytes: 100,
+		},
+		Idempotent:     rapid.Bool().Draw(t, "idempotent"),
+		Checkpointable: rapid.Bool().Draw(t, "checkpointable"),
+	}
+}
+
+// happen lets one random thing happen.
+func (world *world) happen() {
+	t := world.t
+	owner := world.owner()
+	machine := rapid.SampledFrom(world.workers).Draw(t, "worker")
+	switch rapid.SampledFrom([]string{
+		"submit", "submit", "write", "write", "write", "deliver", "deliver", "deliver", "deliver", "fault",
+		"tick", "tick", "tick", "wait", "finish", "finish", "fail", "restart", "cut", "cut", "unlist", "takeover",
+		"cancel", "refuse", "late", "old", "old",
+	}).Draw(t, "event") {
+	case "submit":
+		if len(world.jobs) < 8 {
+			world.submit(drawJob(t))
+		}
+	case "write":
+		world.write(rapid.IntRange(1, 5).Draw(t, "count"))
+	case "deliver":
+		world.deliver(owner, 0)
+	case "fault":
+		world.deliver(owner, rapid.IntRange(1, 4).Draw(t, "fault"))
+	case "tick":
+		world.advance(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+	case "wait":
+		for range rapid.IntRange(1, 12).Draw(t, "seconds") {
+			world.advance(2 * time.Second)
+			for range len(owner.network) {
+				world.deliver(owner, 0)
+			}
+		}
+	case "finish", "fail":
+		for id := range machine.running {
+			outcome := rapid.SampledFrom([]executor.Outcome{executor.OutcomeDone, executor.OutcomeFailed}).Draw(t, "outcome")
+			world.finish(machine, id, outcome)
+			break
+		}
+	case "restart":
+		machine.reset()
+	case "cut":
+		machine.cut = !machine.cut
+	case "unlist":
+		machine.unlisted = !machine.unlisted
+		world.step(owner, world.list())
+	case "takeover":
+		world.takeOver()
+	case "cancel":
+		if len(world.accepted) > 0 {
+			world.request++
+			world.step(owner, Cancel{
+				Request: world.request,
+				ID:      rapid.SampledFrom(world.accepted).Draw(t, "job"),
+			})
+		}
+	case "refuse":
+		world.refuse()
+	case "late":
+		world.arrive()
+	case "old":
+		if len(world.owners) > 1 {
+			old := world.owners[len(world.owners)-2]
+			world.step(old, Tick{})
+			world.deliver(old, 0)
+		}
+	}
+}
+
+func (world *world) advance(by time.Duration) {
+	world.now = world.now.Add(by)
+	for _, machine := range world.workers {
+		world.lapse(machine)
+	}
+	world.step(world.owner(), Tick{})
+}
+
+// settle ends all faults and lets all runs finish.
+func (world *world) settle() {
+	for _, machine := range world.workers {
+		machine.cut, machine.unlisted = false, false
+	}
+	world.arrive()
+	owner := world.owner()
+	world.step(owner, world.list())
+	for round := range 400 {
+		if round == 100 {
+			world.cancelServices()
+		}
+		world.advance(time.Second)
+		for len(owner.queue)+len(owner.network) > 0 {
+			world.write(len(owner.queue))
+			world.deliver(owner, 0)
+		}
+		for _, machine := range world.workers {
+			for id := range machine.running {
+				if world.jobs[id.Job].Kind != descriptor.KindService {
+					world.finish(machine, id, executor.OutcomeDone)
+				}
+			}
+		}
+	}
+}
+
+func (world *world) cancelServices() {
+	for _, id := range world.accepted {
+		if world.jobs[id].Kind == descriptor.KindService {
+			world.request++
+			world.step(world.owner(), Cancel{
+				Request: world.request,
+				ID:      id,
+			})
+		}
+	}
+}
+
+// Guards against a run in two places, a second run of work that must not be repeated, a worker beyond
+// its capacity, NotRun for work that ran, Done for work that did not, an accepted job that is lost or
+// never comes to an end, under random crashes of owners and workers and losses of messages.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWorld(t, rapid.IntRange(1, 4).Draw(t, "workers"))
+		for range rapid.IntRange(20, 150).Draw(t, "events") {
+			world.happen()
+			world.check()
+		}
+		world.settle()
+		world.check()
+		for _, id := range world.accepted {
+			status, _ := world.owner().Status(id, true)
+			switch fate := status.Fate.Fate; {
+			case fate == "Done", fate == "NotRun", fate == "Failed", fate == "Unknown":
+			case fate == "Pending" && strings.HasPrefix(status.Fate.Reason, "larger than"):
+				// Accepted before the workers were known, by an owner that has crashed since.
+			default:
+				t.Fatalf("job %s is %v in the end: %s", id, status.Fate, trail(status))
+			}
+		}
+	})
+}
+
+func trail(status descriptor.JobStatus) string {
+	text := fmt.Sprintf("%+v\n", status.Job)
+	for _, decision := range status.Trail {
+		text += fmt.Sprintf("%s %s: %s\n", decision.At.Format("04:05.000"), decision.Code, decision.Text)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/shard/driver/term.go
@@ -0,0 +1,331 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/controller"
+	"pomelomoor/internal/shard/journaler"
+	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// term is one ownership of the shard. Its fields belong to the event loop, but for the channels.
+type term struct {
+	driver  *Driver
+	journal *journaler.Journal
+	machine *controller.Controller
+	records []*recordpb.Record
+
+	calls   chan call
+	events  chan controller.Event
+	flushed chan flushResult
+	// snapshotted carries the result of a snapshot.
+	snapshotted chan error
+	changed     chan struct{}
+	// closed ends the waits of callers and of calls to workers.
+	closed chan struct{}
+	work   sync.WaitGroup
+
+	authority controller.Authority
+	waiters   map[controller.Request]chan answer
+	request   controller.Request
+	queue     queue
+	timer     *time.Timer
+	loadedAt  time.Time
+	// over is why the term ends; empty while it goes on.
+	over string
+}
+
+func newTerm(driver *Driver, journal *journaler.Journal, records []*recordpb.Record) *term {
+	return &term{
+		driver:      driver,
+		journal:     journal,
+		machine:     controller.New(driver.options.Shard),
+		records:     records,
+		calls:       make(chan call),
+		events:      make(chan controller.Event),
+		flushed:     make(chan flushResult, 1),
+		snapshotted: make(chan error, 1),
+		changed:     make(chan struct{}, 1),
+		closed:      make(chan struct{}),
+		waiters:     map[controller.Request]chan answer{},
+		timer:       time.NewTimer(time.Hour),
+	}
+}
+
+// run is the event loop. It returns why the term ended.
+func (term *term) run(ctx context.Context) string {
+	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer term.work.Wait()
+	defer cancel()
+	defer close(term.closed)
+	defer term.timer.Stop()
+	term.checkAuthority(workCtx)
+	term.applySettings(workCtx)
+	term.step(workCtx, controller.Loaded{
+		Epoch:   term.journal.Epoch(),
+		Records: term.records,
+	})
+	term.records = nil
+	term.publish()
+	term.driver.term.Store(term)
+	defer term.driver.term.Store(nil)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for term.over == "" {
+		select {
+		case <-ctx.Done():
+			term.handOver(workCtx)
+		case <-ticker.C:
+			term.tick(workCtx)
+		default:
+			term.next(ctx, workCtx, ticker.C)
+		}
+	}
+	term.abandon()
+	return term.over
+}
+
+// next handles one happening.
+func (term *term) next(ctx, workCtx context.Context, ticks <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+		term.handOver(workCtx)
+	case <-ticks:
+		term.tick(workCtx)
+	case <-term.changed:
+		term.applySettings(workCtx)
+	case call := <-term.calls:
+		term.take(workCtx, call)
+	case event := <-term.events:
+		term.step(workCtx, event)
+	case result := <-term.flushed:
+		term.settleFlush(workCtx, result)
+	case err := <-term.snapshotted:
+		term.settleSnapshot(workCtx, err)
+	case <-term.timer.C:
+		term.flush(workCtx)
+	}
+}
+
+func (term *term) end(reason string) {
+	if term.over == "" {
+		term.over = reason
+	}
+}
+
+func (term *term) tick(ctx context.Context) {
+	term.checkAuthority(ctx)
+	term.step(ctx, controller.Tick{})
+	term.flush(ctx)
+	if now := term.driver.options.Now(); now.Sub(term.loadedAt) >= loadInterval {
+		term.publish()
+	}
+}
+
+// loadInterval is half of the interval at which instances exchange their views.
+const loadInterval = 500 * time.Millisecond
+
+func (term *term) publish() {
+	term.loadedAt = term.driver.options.Now()
+	load := term.machine.Load()
+	term.driver.load.Store(&Load{
+		Shard:    term.driver.options.Shard,
+		Epoch:    term.journal.Epoch(),
+		Capacity: load.Capacity,
+		Free:     load.Free,
+		Waiting:  load.Waiting,
+		Teams:    load.Teams,
+	})
+}
+
+func (term *term) checkAuthority(ctx context.Context) {
+	authority := term.driver.options.Authority()
+	if authority == term.authority {
+		return
+	}
+	term.authority = authority
+	term.step(ctx, controller.AuthorityChanged{
+		Authority: authority,
+	})
+	if authority == controller.AuthorityNone {
+		term.end("the instance does not own the shard any more")
+	}
+}
+
+func (term *term) applySettings(ctx context.Context) {
+	config, workers, listed := term.driver.settings()
+	term.step(ctx, controller.ConfigChanged{
+		Config: config,
+	})
+	if listed {
+		term.step(ctx, controller.InstancesChanged{
+			Workers: workers,
+		})
+	}
+}
+
+// take starts a call of the API.
+func (term *term) take(ctx context.Context, call call) {
+	if call.query != nil {
+		call.reply <- call.query(term.machine)
+		return
+	}
+	term.request++
+	term.waiters[term.request] = call.reply
+	event := call.event(term.request)
+	if _, ok := event.(controller.Cancel); ok && term.queue.down(term.driver.options.Now()) {
+		term.answer(term.request, answer{
+			problem: descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter,
+				"the journal of shard %s is unavailable; the job was not cancelled", term.driver.options.Shard),
+		})
+		return
+	}
+	term.step(ctx, event)
+}
+
+func (term *term) answer(request controller.Request, answer answer) {
+	reply, ok := term.waiters[request]
+	if !ok {
+		return
+	}
+	delete(term.waiters, request)
+	reply <- answer
+}
+
+// abandon answers the callers that still wait. Their records may be durable.
+func (term *term) abandon() {
+	for request := range term.waiters {
+		term.answer(request, answer{
+			problem: term.driver.uncertain(),
+		})
+	}
+}
+
+// step lets the controller handle an event and carries out its actions.
+func (term *term) step(ctx context.Context, event controller.Event) {
+	pending := []controller.Event{event}
+	for len(pending) > 0 && term.over == "" {
+		begin := time.Now()
+		actions := term.machine.Step(term.driver.options.Now(), pending[0])
+		term.driver.metrics.step.RecordDuration(time.Since(begin))
+		pending = pending[1:]
+		for _, action := range actions {
+			if further := term.perform(ctx, action); further != nil {
+				pending = append(pending, further)
+			}
+		}
+	}
+}
+
+// perform carries out one action and returns an event that it leads to at once, or nil.
+func (term *term) perform(ctx context.Context, action controller.Action) controller.Event {
+	switch action := action.(type) {
+	case controller.Append:
+		if action.Droppable && term.queue.down(term.driver.options.Now()) {
+			return controller.Refused{
+				Token: action.Token,
+			}
+		}
+		term.queue.add(action)
+		term.schedule()
+	case controller.Sync:
+		term.work.Add(1)
+		go term.sync(ctx, action)
+	case controller.AnswerBind:
+		term.answer(action.Request, answer{
+			action: action,
+		})
+	case controller.AnswerAccept:
+		term.answer(action.Request, answer{
+			action: action,
+		})
+	case controller.AnswerCancel:
+		term.answer(action.Request, answer{
+			action: action,
+		})
+	case controller.Explain:
+		term.driver.options.Logger.DebugContext(ctx, "decision about a job", "Event", eventDecision,
+			"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+	case controller.Halt:
+		term.end(action.Reason)
+	}
+	return nil
+}
+
+// sync sends a message to a worker and brings its answer to the event loop.
+func (term *term) sync(ctx context.Context, action controller.Sync) {
+	defer term.work.Done()
+	var event controller.Event = controller.Unanswered{
+		Worker: action.Worker,
+	}
+	select {
+	case term.driver.syncs <- struct{}{}:
+		event = term.call(ctx, action)
+		<-term.driver.syncs
+	case <-term.closed:
+		return
+	}
+	select {
+	case term.events <- event:
+	case <-term.closed:
+	}
+}
+
+// call checks the lease, sends the message and translates the answer.
+func (term *term) call(ctx context.Context, action controller.Sync) controller.Event {
+	driver := term.driver
+	ctx, span := driver.start(ctx, "worker.sync")
+	defer span.End()
+	request := action.Request
+	// The task lease counts from the decision, which the controller remembers.
+	if request.Lease > 0 {
+		request.Lease = max(request.Lease-driver.options.Now().Sub(action.Sent), time.Millisecond)
+	}
+	driver.metrics.syncs.Inc(1)
+	if !allowed(driver.options.Authority(), request) {
+		return controller.Unanswered{
+			Worker: action.Worker,
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := driver.options.Executor.Sync(ctx, action.Address, request)
+	switch {
+	case err == nil:
+		return controller.Reported{
+			Worker: action.Worker,
+			Sent:   action.Sent,
+			Reply:  reply,
+		}
+	case errors.Is(err, executor.ErrFenced):
+		return controller.Fenced{
+			Worker: action.Worker,
+		}
+	}
+	span.RecordError(err)
+	driver.metrics.silent.Inc(1)
+	driver.options.Logger.DebugContext(ctx, "worker did not answer", "Event", eventWorkerSilent, "Worker", action.Worker, "Error", err)
+	return controller.Unanswered{
+		Worker:         action.Worker,
+		MayHaveArrived: !errors.Is(err, executor.ErrUnreachable),
+	}
+}
+
+// allowed reports whether a message may be sent under the authority of this moment.
+func allowed(authority controller.Authority, request executor.SyncRequest) bool {
+	switch authority {
+	case controller.AuthorityAct:
+		return true
+	case controller.AuthorityRenew:
+		commands := len(request.Start) + len(request.Stop) + len(request.Checkpoint) + len(request.Throttle) + len(request.Acknowledge)
+		return commands == 0
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/shard/recorder/recorder.go
@@ -0,0 +1,200 @@
+// Package recorder holds the durable state of a shard, as the records of its journal build it.
+package recorder
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/shard/registrar"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Outcomes of runs besides those that workers report.
+const (
+	// OutcomeLost means that the worker can't tell any more what became of the run.
+	OutcomeLost executor.Outcome = "Lost"
+	// OutcomeNotStarted means that the run provably never started.
+	OutcomeNotStarted executor.Outcome = "NotStarted"
+)
+
+// ErrOrder means that a record refers to a job that the records before it do not contain.
+var ErrOrder = errors.New("record of an unknown job")
+
+// maxFailures bounds the failures of a task that are kept; services may fail any number of times.
+const maxFailures = 16
+
+// Run is the latest run of a task.
+type Run struct {
+	Attempt     int
+	Worker      descriptor.WorkerID
+	Incarnation string
+	Intended    time.Time
+	// Outcome is empty while the run may be in progress.
+	Outcome executor.Outcome
+	Reason  string
+	Started time.Time
+	Ended   time.Time
+}
+
+// Task is the durable state of one task.
+type Task struct {
+	// Run has Attempt 0 before the first run.
+	Run Run
+	// Failures lists the attempts that count towards the limit of attempts.
+	Failures []int
+	// Checkpoint names the latest saved state, and CheckpointAttempt the run that saved it.
+	Checkpoint        string
+	CheckpointAttempt int
+}
+
+// Open reports whether the latest run may be in progress.
+func (task *Task) Open() bool {
+	return task.Run.Attempt > 0 && task.Run.Outcome == ""
+}
+
+// Job is the durable state of one job.
+type Job struct {
+	ID          descriptor.JobID
+	Description descriptor.Job
+	Accepted    time.Time
+	// Cancelled is zero unless the job was cancelled.
+	Cancelled time.Time
+	// End is the final fate; it is empty before the end.
+	End   descriptor.FateRecord
+	Tasks []Task
+}
+
+// Ended reports whether the job has its final fate.
+func (job *Job) Ended() bool {
+	return job.End.Fate != ""
+}
+
+// State is the durable state of a shard. The zero value is empty and ready.
+type State struct {
+	Jobs      map[descriptor.JobID]*Job
+	Keys      registrar.Registrar
+	Estimates map[string]*recordpb.Estimate
+}
+
+// Apply changes the state by one record. Records may be applied in the order of the journal only.
+func (state *State) Apply(record *recordpb.Record) error {
+	if state.Jobs == nil {
+		state.Jobs = map[descriptor.JobID]*Job{}
+		state.Estimates = map[string]*recordpb.Estimate{}
+	}
+	switch change := record.Change.(type) {
+	case *recordpb.Record_KeyBound:
+		state.Keys.Bind(registrar.FromRecord(change.KeyBound))
+	case *recordpb.Record_JobAccepted:
+		return state.accept(change.JobAccepted)
+	case *recordpb.Record_JobForgotten:
+		delete(state.Jobs, descriptor.JobID(change.JobForgotten.Job))
+		state.Keys.Forget(descriptor.JobID(change.JobForgotten.Job))
+	case *recordpb.Record_JobCancelled:
+		return state.change(change.JobCancelled.Job, func(job *Job) {
+			job.Cancelled = time.UnixMilli(change.JobCancelled.AtUnixMillis)
+		})
+	case *recordpb.Record_JobEnded:
+		return state.change(change.JobEnded.Job, func(job *Job) {
+			job.End = descriptor.FateRecord{
+				Fate:   change.JobEnded.Fate,
+				At:     time.UnixMilli(change.JobEnded.AtUnixMillis),
+				Reason: change.JobEnded.Reason,
+			}
+		})
+	case *recordpb.Record_RunIntended:
+		return state.change(change.RunIntended.Job, func(job *Job) {
+			job.intend(change.RunIntended)
+		})
+	case *recordpb.Record_RunEnded:
+		return state.change(change.RunEnded.Job, func(job *Job) {
+			job.endRun(change.RunEnded)
+		})
+	case *recordpb.Record_Estimate:
+		state.Estimates[change.Estimate.Class] = change.Estimate
+	case *recordpb.Record_Fence:
+	default:
+		return errors.Errorf("record of unknown kind %T", change)
+	}
+	return nil
+}
+
+func (state *State) accept(accepted *recordpb.JobAccepted) error {
+	job := &Job{
+		ID:       descriptor.JobID(accepted.Job),
+		Accepted: time.UnixMilli(accepted.AtUnixMillis),
+	}
+	if err := json.Unmarshal(accepted.Description, &job.Description); err != nil {
+		return errors.Wrapf(err, "description of job %s", accepted.Job)
+	}
+	job.Tasks = make([]Task, job.Description.TaskCount())
+	state.Jobs[job.ID] = job
+	return nil
+}
+
+func (state *State) change(id string, change func(*Job)) error {
+	job, ok := state.Jobs[descriptor.JobID(id)]
+	if !ok {
+		return errors.Wrap(ErrOrder, id)
+	}
+	change(job)
+	return nil
+}
+
+func (job *Job) intend(intended *recordpb.RunIntended) {
+	job.Tasks[intended.Task].Run = Run{
+		Attempt:     int(intended.Attempt),
+		Worker:      descriptor.WorkerID(intended.Worker),
+		Incarnation: intended.Incarnation,
+		Intended:    time.UnixMilli(intended.AtUnixMillis),
+	}
+}
+
+func (job *Job) endRun(ended *recordpb.RunEnded) {
+	task := &job.Tasks[ended.Task]
+	attempt := int(ended.Attempt)
+	outcome := executor.Outcome(ended.Outcome)
+	if Counts(outcome) && !slices.Contains(task.Failures, attempt) {
+		task.Failures = append(task.Failures, attempt)
+		task.Failures = task.Failures[max(0, len(task.Failures)-maxFailures):]
+	}
+	if outcome == executor.OutcomeCheckpointed {
+		task.Checkpoint, task.CheckpointAttempt = ended.Checkpoint, attempt
+	}
+	if attempt != task.Run.Attempt {
+		return
+	}
+	task.Run.Outcome = outcome
+	task.Run.Reason = ended.Reason
+	task.Run.Started = fromMillis(ended.StartedUnixMillis)
+	task.Run.Ended = fromMillis(ended.EndedUnixMillis)
+}
+
+// Counts reports whether a run with this outcome counts towards the limit of attempts.
+func Counts(outcome executor.Outcome) bool {
+	switch outcome {
+	case executor.OutcomeFailed, executor.OutcomeLeaseLapsed, OutcomeLost:
+		return true
+	default:
+		return false
+	}
+}
+
+func fromMillis(millis int64) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(millis)
+}
+
+func toMillis(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
--- /dev/null
+++ b/internal/shard/recorder/records.go
@@ -0,0 +1,172 @@
+package recorder
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Records returns records that rebuild the state, in a fixed order.
+func (state *State) Records() []*recordpb.Record {
+	records := state.Keys.Records()
+	for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
+		records = append(records, state.Jobs[id].records()...)
+	}
+	for _, class := range slices.Sorted(maps.Keys(state.Estimates)) {
+		records = append(records, &recordpb.Record{
+			Change: &recordpb.Record_Estimate{
+				Estimate: state.Estimates[class],
+			},
+		})
+	}
+	return records
+}
+
+func (job *Job) records() []*recordpb.Record {
+	records := []*recordpb.Record{JobAccepted(job.ID, &job.Description, job.Accepted)}
+	if !job.Cancelled.IsZero() {
+		records = append(records, JobCancelled(job.ID, job.Cancelled))
+	}
+	for i := range job.Tasks {
+		records = append(records, job.taskRecords(i)...)
+	}
+	if job.Ended() {
+		records = append(records, JobEnded(job.ID, job.End))
+	}
+	return records
+}
+
+// taskRecords repeats the ends of earlier runs before the latest one, because they count as attempts.
+func (job *Job) taskRecords(index int) []*recordpb.Record {
+	task := &job.Tasks[index]
+	var records []*recordpb.Record
+	id := descriptor.RunID{
+		Job:  job.ID,
+		Task: index,
+	}
+	for _, attempt := range task.Failures {
+		if attempt == task.Run.Attempt {
+			continue
+		}
+		id.Attempt = attempt
+		records = append(records, RunEnded(executor.RunResult{
+			Run:     id,
+			Outcome: executor.OutcomeFailed,
+		}))
+	}
+	if task.CheckpointAttempt > 0 {
+		id.Attempt = task.CheckpointAttempt
+		records = append(records, RunEnded(executor.RunResult{
+			Run:        id,
+			Outcome:    executor.OutcomeCheckpointed,
+			Checkpoint: task.Checkpoint,
+		}))
+	}
+	if task.Run.Attempt == 0 {
+		return records
+	}
+	id.Attempt = task.Run.Attempt
+	records = append(records, RunIntended(id, task.Run.Worker, task.Run.Incarnation, task.Run.Intended))
+	if task.Run.Outcome == "" {
+		return records
+	}
+	return append(records, RunEnded(executor.RunResult{
+		Run:        id,
+		Outcome:    task.Run.Outcome,
+		Started:    task.Run.Started,
+		Ended:      task.Run.Ended,
+		Checkpoint: task.Checkpoint,
+		Reason:     task.Run.Reason,
+	}))
+}
+
+// JobAccepted returns the record of an accepted job.
+func JobAccepted(id descriptor.JobID, job *descriptor.Job, at time.Time) *recordpb.Record {
+	// A job of strings, numbers and times can always be encoded.
+	description, _ := json.Marshal(job)
+	return &recordpb.Record{
+		Change: &recordpb.Record_JobAccepted{
+			JobAccepted: &recordpb.JobAccepted{
+				Job:          string(id),
+				Description:  description,
+				AtUnixMillis: at.UnixMilli(),
+			},
+		},
+	}
+}
+
+// JobCancelled returns the record of a cancellation.
+func JobCancelled(id descriptor.JobID, at time.Time) *recordpb.Record {
+	return &recordpb.Record{
+		Change: &recordpb.Record_JobCancelled{
+			JobCancelled: &recordpb.JobCancelled{
+				Job:          string(id),
+				AtUnixMillis: at.UnixMilli(),
+			},
+		},
+	}
+}
+
+// JobEnded returns the record of a final fate.
+func JobEnded(id descriptor.JobID, end descriptor.FateRecord) *recordpb.Record {
+	return &recordpb.Record{
+		Change: &recordpb.Record_JobEnded{
+			JobEnded: &recordpb.JobEnded{
+				Job:          string(id),
+				Fate:         end.Fate,
+				Reason:       end.Reason,
+				AtUnixMillis: end.At.UnixMilli(),
+			},
+		},
+	}
+}
+
+// JobForgotten returns the record that ends the retention of a job and its key.
+func JobForgotten(id descriptor.JobID) *recordpb.Record {
+	return &recordpb.Record{
+		Change: &recordpb.Record_JobForgotten{
+			JobForgotten: &recordpb.JobForgotten{
+				Job: string(id),
+			},
+		},
+	}
+}
+
+// RunIntended returns the record of a start intent.
+func RunIntended(id descriptor.RunID, worker descriptor.WorkerID, incarnation string, at time.Time) *recordpb.Record {
+	return &recordpb.Record{
+		Change: &recordpb.Record_RunIntended{
+			RunIntended: &recordpb.RunIntended{
+				Job:          string(id.Job),
+				Task:         uint32(id.Task),
+				Attempt:      uint32(id.Attempt),
+				Worker:       string(worker),
+				Incarnation:  incarnation,
+				AtUnixMillis: at.UnixMilli(),
+			},
+		},
+	}
+}
+
+// RunEnded returns the record of the end of a run.
+func RunEnded(result executor.RunResult) *recordpb.Record {
+	return &recordpb.Record{
+		Change: &recordpb.Record_RunEnded{
+			RunEnded: &recordpb.RunEnded{
+				Job:               string(result.Run.Job),
+				Task:              uint32(result.Run.Task),
+				Attempt:           uint32(result.Run.Attempt),
+				Outcome:           string(result.Outcome),
+				Checkpoint:        result.Checkpoint,
+				Reason:            result.Reason,
+				StartedUnixMillis: toMillis(result.Started),
+				EndedUnixMillis:   toMillis(result.Ended),
+			},
+		},
+	}
+}
