Assemble the entry instance: jobs and requests work end to end

Cause: the parts existed without a program that joins them. Change: package assembler builds an entry instance from its settings and stops it gracefully; shard probing before a key is bound; a driver's Serve now runs one term and returns, because taking a shard over again without the owner key would set two instances against each other. Before: no process served a request.

--- a/cmd/pomelomoor/main.go
+++ b/cmd/pomelomoor/main.go
@@ -3,12 +3,17 @@
 
 import (
 	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
 	"pomelomoor/internal/client/commander"
+	"pomelomoor/internal/entry/assembler"
+	"pomelomoor/internal/node/loader"
 )
 
 func main() {
@@ -23,10 +28,38 @@
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
 		Version: version(),
+		Entry:   runEntry,
 	}
 	return program.Run(ctx, os.Args[1:])
 }
 
+// started is the line on standard output that tells where an entry instance listens.
+type started struct {
+	Instance string
+	HTTP     netip.AddrPort
+	Peer     netip.AddrPort
+}
+
+func runEntry(ctx context.Context, settings loader.Settings, log *slog.Logger) error {
+	entry, cleanup, err := assembler.New(assembler.Options{
+		Settings: settings,
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	err = json.NewEncoder(os.Stdout).Encode(started{
+		Instance: entry.ID(),
+		HTTP:     entry.HTTP(),
+		Peer:     entry.Peer(),
+	})
+	if err != nil {
+		return err
+	}
+	return entry.Serve(ctx)
+}
+
 // version returns what the build recorded.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- /dev/null
+++ b/internal/entry/assembler/state.go
@@ -0,0 +1,210 @@
+package assembler
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/member/exchanger"
+	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/node/logger"
+	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/request/forwarder"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Candidates implements manager.View.
+func (view view) Candidates(shard descriptor.ShardID, region string) []*peerpb.Member {
+	return view.entry.exchanger.Candidates(shard, region)
+}
+
+// Owner implements manager.View.
+func (view view) Owner(shard descriptor.ShardID) *peerpb.Member {
+	return view.entry.exchanger.Owner(shard)
+}
+
+func (entry *Entry) openTracer() trace.Tracer {
+	return entry.tracer.OpenTelemetry()
+}
+
+// state fills in this instance's statement to its peers.
+func (entry *Entry) state(member *peerpb.Member) {
+	member.ConfigRevision = entry.applier.Current().Revision
+	member.StoreReachable = entry.holder.Reachable()
+	member.Shards = entry.shards.statement()
+	for service, slots := range entry.forwarder.FreeSlots() {
+		if slots > 0 {
+			member.FreeSlots = append(member.FreeSlots, &peerpb.FreeSlots{
+				Service: service,
+				Slots:   uint32(slots),
+			})
+		}
+	}
+}
+
+func (entry *Entry) listChanged(list lister.List) {
+	entry.forwarder.SetInstances(list)
+	entry.shards.setInstances(list)
+}
+
+// viewChanged gives the parts that depend on the members their share.
+func (entry *Entry) viewChanged() {
+	live := entry.exchanger.Live()
+	var members []string
+	var peers []forwarder.Peer
+	for _, member := range live {
+		if member.GetRegion() == entry.settings.Region && !member.GetLeaving() {
+			members = append(members, member.GetId())
+		}
+		if member.GetId() == entry.id || member.GetLeaving() {
+			continue
+		}
+		free := map[string]int{}
+		for _, slots := range member.GetFreeSlots() {
+			free[slots.GetService()] = int(slots.GetSlots())
+		}
+		peers = append(peers, forwarder.Peer{
+			ID:     member.GetId(),
+			Region: member.GetRegion(),
+			Free:   free,
+		})
+	}
+	entry.forwarder.SetPeers(members, peers)
+	entry.shards.limiter.SetLimit(rate.Limit(float64(entry.settings.Limits.StoreWrites) / float64(len(live))))
+	entry.updateReady(len(live))
+}
+
+// updateReady makes the instance ready once it knows the configuration in force: from the store, or
+// from peers while the store is down. A cell without any configuration is ready when the store says so.
+func (entry *Entry) updateReady(live int) {
+	if entry.ready.Load() || entry.draining.Load() {
+		return
+	}
+	known := entry.applier.Current().Revision > 0
+	if known || entry.holder.Reachable() {
+		entry.ready.Store(true)
+		logger.Log(context.Background(), entry.log, logger.EventReady, slog.Int("Members", live))
+	}
+}
+
+func (entry *Entry) configChanged(compiled *parser.Compiled) {
+	entry.forwarder.SetConfig(compiled)
+	entry.shards.setConfig(compiled)
+}
+
+// fetchConfig takes the configuration of a peer that has a newer one.
+func (entry *Entry) fetchConfig(ctx context.Context, member *peerpb.Member) {
+	address, ok := exchanger.Address(member)
+	if !ok {
+		return
+	}
+	client, err := entry.messenger.Client(address, member.GetRegion())
+	if err != nil {
+		return
+	}
+	current := entry.applier.Current().Revision
+	reply, err := client.FetchConfig(ctx, &peerpb.FetchConfigRequest{
+		Above: current,
+	})
+	if err != nil || reply.GetRevision() <= current {
+		return
+	}
+	if err := entry.applier.Offer(reply.GetRevision(), reply.GetDocument()); err != nil {
+		logger.Log(ctx, entry.log, logger.EventConfigRefused, slog.String("Peer", member.GetId()), logger.Error(err))
+		return
+	}
+	logger.Log(ctx, entry.log, logger.EventConfigFetched,
+		slog.String("Peer", member.GetId()), slog.Uint64("Revision", reply.GetRevision()))
+}
+
+func (entry *Entry) leaseLost() {
+	logger.Log(context.Background(), entry.log, logger.EventLeaseLost)
+	entry.manager.LoseAll()
+}
+
+func (entry *Entry) storeReachable(reachable bool, err error) {
+	if reachable {
+		logger.Log(context.Background(), entry.log, logger.EventStoreBack)
+		return
+	}
+	logger.Log(context.Background(), entry.log, logger.EventStoreUnreachable, logger.Error(err))
+}
+
+var (
+	errStarting = errors.New("the configuration is not known yet")
+	errDraining = errors.New("the instance is stopping")
+)
+
+// Ready implements handler.Readiness.
+func (entry *Entry) Ready() error {
+	switch {
+	case entry.draining.Load():
+		return errDraining
+	case !entry.ready.Load():
+		return errStarting
+	default:
+		return nil
+	}
+}
+
+// Live implements handler.Readiness. A process that answers is live; its supervisor ends it otherwise.
+func (entry *Entry) Live() error {
+	return nil
+}
+
+// Drain implements handler.Readiness. Serve carries the stop out and returns.
+func (entry *Entry) Drain(context.Context) error {
+	entry.drainOnce.Do(func() {
+		close(entry.drain)
+	})
+	return nil
+}
+
+// Serve runs the instance until ctx ends or Drain is called, then stops it gracefully.
+func (entry *Entry) Serve(ctx context.Context) error {
+	logger.Log(ctx, entry.log, logger.EventStarted,
+		slog.String("HTTP", entry.HTTP().String()), slog.String("Peer", entry.Peer().String()))
+	tree, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- entry.supervisor.Serve(tree)
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	case <-entry.drain:
+	}
+	entry.stop()
+	cancel()
+	err := <-ended
+	logger.Log(context.WithoutCancel(ctx), entry.log, logger.EventStopped)
+	return err
+}
+
+// stop is the planned stop: no new calls, shards handed over, then calls in progress end.
+func (entry *Entry) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Timeouts.Drain.Duration)
+	defer cancel()
+	entry.draining.Store(true)
+	logger.Log(ctx, entry.log, logger.EventDraining)
+	entry.exchanger.SetLeaving(ctx)
+	notice := time.NewTimer(noticeTime)
+	defer notice.Stop()
+	entry.manager.Drain(ctx)
+	entry.exchanger.Push(ctx)
+	<-notice.C
+	// Connections that came in before the balancer noticed are served to their end.
+	if err := entry.server.Shutdown(ctx); err != nil {
+		logger.Log(ctx, entry.log, logger.EventDrainTimedOut, logger.Error(err))
+	}
+	if err := entry.forwarder.Drain(ctx); err != nil {
+		logger.Log(ctx, entry.log, logger.EventDrainTimedOut, logger.Error(err))
+	}
+}
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -36,11 +36,11 @@
 // Owner is a shard that this instance owns.
 type Owner interface {
 	// Probe returns CodeImpossible when the shard could never run the job.
-	Probe(ctx context.Context, job *descriptor.Job) error
+	Probe(ctx context.Context, job descriptor.Job) error
 	// Submit binds the job's key and returns the job's ID with its target shard.
-	Submit(ctx context.Context, job *descriptor.Job, targets []descriptor.ShardID) (descriptor.JobID, descriptor.ShardID, bool, error)
+	Submit(ctx context.Context, job descriptor.Job, targets []descriptor.ShardID) (descriptor.JobID, descriptor.ShardID, bool, error)
 	// Accept makes the job durable.
-	Accept(ctx context.Context, id descriptor.JobID, job *descriptor.Job) error
+	Accept(ctx context.Context, id descriptor.JobID, job descriptor.Job) error
 	Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error)
 	Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error)
 }
@@ -155,7 +155,7 @@
 	if err != nil {
 		return "", false, err
 	}
-	id, target, existed, err := owner.Submit(ctx, job, admitting)
+	id, target, existed, err := owner.Submit(ctx, *job, admitting)
 	if err != nil {
 		return "", false, err
 	}
@@ -192,9 +192,9 @@
 ) error {
 	if owner, ok := dispatcher.options.Local(target); ok {
 		if probe {
-			return owner.Probe(ctx, job)
+			return owner.Probe(ctx, *job)
 		}
-		return owner.Accept(ctx, id, job)
+		return owner.Accept(ctx, id, *job)
 	}
 	client, err := dispatcher.client(target)
 	if err != nil {
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -54,9 +54,9 @@
 	}
 	var err error
 	if request.GetProbe() {
-		err = owner.Probe(ctx, &job)
+		err = owner.Probe(ctx, job)
 	} else {
-		err = owner.Accept(ctx, descriptor.JobID(request.GetJob()), &job)
+		err = owner.Accept(ctx, descriptor.JobID(request.GetJob()), job)
 	}
 	return &peerpb.AcceptReply{
 		Problem: toProblem(err),
--- a/internal/node/tracer/tracer.go
+++ b/internal/node/tracer/tracer.go
@@ -86,6 +86,11 @@
 	return tracer.tracer.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(attributes...))
 }
 
+// Provider returns the provider for packages that use OpenTelemetry's own interface.
+func (tracer *Tracer) Provider() trace.TracerProvider {
+	return tracer.provider
+}
+
 // OpenTelemetry returns the tracer for packages that use OpenTelemetry's own interface.
 func (tracer *Tracer) OpenTelemetry() trace.Tracer {
 	return tracer.tracer
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -141,35 +141,31 @@
 	return fmt.Sprintf("shard %s", driver.options.Shard)
 }
 
-// Serve takes the shard over whenever the instance's lease allows it, and runs it until ctx ends. It
-// implements suture.Service.
+// ErrEnded means that the ownership of the shard ended. Taking it over again needs the owner key again.
+var ErrEnded = errors.New("driver: ownership ended")
+
+// Serve takes the shard over and runs it until ctx ends or the ownership does.
 func (driver *Driver) Serve(ctx context.Context) error {
 	driver.serving.Add(1)
 	defer driver.serving.Done()
-	for ctx.Err() == nil {
-		if driver.options.Authority() == controller.AuthorityAct {
-			driver.serveTerm(ctx)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
+	if driver.options.Authority() != controller.AuthorityAct {
+		return errors.Wrap(ErrEnded, "no lease")
 	}
-	return ctx.Err()
-}
-
-func (driver *Driver) serveTerm(ctx context.Context) {
 	logger := driver.options.Logger.With("Shard", driver.options.Shard)
 	term, err := driver.takeOver(ctx)
 	if err != nil {
 		logger.Warn("shard was not taken over", "Event", eventTakeoverFailed, "Error", err)
-		return
+		return errors.Wrap(ErrEnded, err.Error())
 	}
 	logger.Info("shard taken over", "Event", eventTakenOver, "Epoch", term.journal.Epoch())
 	driver.metrics.takeovers.Inc(1)
 	reason := term.run(ctx)
 	driver.load.Store(nil)
 	logger.Info("shard given up", "Event", eventGivenUp, "Epoch", term.journal.Epoch(), "Reason", reason)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(ErrEnded, reason)
 }
 
 // takeOver opens the journal and starts a controller from its records.
