--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -261,9 +261,7 @@
 // sync sends a message to a worker and brings its answer to the event loop.
 func (term *term) sync(ctx context.Context, action controller.Sync) {
 	defer term.work.Done()
-	var event controller.Event = controller.Unanswered{
-		Worker: action.Worker,
-	}
+	var event controller.Event
 	select {
 	case term.driver.syncs <- struct{}{}:
 		event = term.call(ctx, action)
