--- a/internal/shard/controller/controller_test.go
+++ b/internal/shard/controller/controller_test.go
@@ -50,7 +50,7 @@
 func (world *world) happen() {
 	t := world.t
 	owner := world.owner()
-	machine := rapid.SampledFrom(world.workers).Draw(t, "worker")
+	machine := world.workers[rapid.IntRange(0, len(world.workers)-1).Draw(t, "worker")]
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "write", "write", "write", "deliver", "deliver", "deliver", "deliver", "fault",
 		"tick", "tick", "tick", "wait", "finish", "finish", "fail", "restart", "cut", "cut", "unlist", "takeover",
@@ -76,7 +76,7 @@
 			}
 		}
 	case "finish", "fail":
-		for id := range machine.running {
+		for _, id := range sortedKeys(machine.running) {
 			outcome := rapid.SampledFrom([]executor.Outcome{executor.OutcomeDone, executor.OutcomeFailed}).Draw(t, "outcome")
 			world.finish(machine, id, outcome)
 			break
@@ -137,7 +137,7 @@
 			world.deliver(owner, 0)
 		}
 		for _, machine := range world.workers {
-			for id := range machine.running {
+			for _, id := range sortedKeys(machine.running) {
 				if world.jobs[id.Job].Kind != descriptor.KindService {
 					world.finish(machine, id, executor.OutcomeDone)
 				}
--- a/internal/shard/controller/jobs.go
+++ b/internal/shard/controller/jobs.go
@@ -299,7 +299,8 @@
 }
 
 func (controller *Controller) cancelTasks(now time.Time, job *job) {
-	job.cancelled = true
+	// A gang that was being stopped to start again is only stopped now.
+	job.cancelled, job.restarting = true, false
 	controller.allocator.Unqueue(job.id)
 	for i := range job.tasks {
 		task := &job.tasks[i]
--- a/internal/shard/controller/loading.go
+++ b/internal/shard/controller/loading.go
@@ -71,7 +71,7 @@
 	last := durable.Run
 	job.work.Attempts[index] = last.Attempt
 	task.failures = len(durable.Failures)
-	task.ran = task.failures > 0 || durable.CheckpointAttempt > 0 || started(last.Outcome)
+	task.ran = durable.RanAttempt > 0
 	task.checkpoint = durable.Checkpoint
 	task.worker = last.Worker
 	// An attempt that first counted as lost and then turned out never to have started stays final.
--- a/internal/shard/controller/runs.go
+++ b/internal/shard/controller/runs.go
@@ -186,7 +186,7 @@
 // comes to the same state.
 func (controller *Controller) apply(now time.Time, job *job, index int, result executor.RunResult) {
 	task := &job.tasks[index]
-	task.ran = task.ran || started(result.Outcome)
+	task.ran = task.ran || recorder.Started(result.Outcome)
 	task.reason = fmt.Sprintf("%s on %s", result.Outcome, task.worker)
 	if result.Reason != "" {
 		task.reason = result.Reason
@@ -209,15 +209,10 @@
 	}
 }
 
-// started reports whether a run with this outcome was, or may have been, in progress.
-func started(outcome executor.Outcome) bool {
-	return outcome != "" && outcome != executor.OutcomeRefused && outcome != recorder.OutcomeNotStarted
-}
-
 // next returns the state of a task after its run had this outcome.
 func (job *job) next(task *task, outcome executor.Outcome) taskState {
 	switch {
-	case task.lost && !started(outcome), job.cancelled && !task.ran:
+	case task.lost && !recorder.Started(outcome), job.cancelled && !task.ran:
 		return taskNotRun
 	case job.cancelled && job.service():
 		return taskDone
@@ -229,7 +224,7 @@
 		return taskFailed
 	case job.service():
 		return taskWaiting
-	case !started(outcome):
+	case !recorder.Started(outcome):
 		return job.unstarted()
 	case task.lost, !job.repeatable():
 		return taskFailed
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -275,14 +277,14 @@
 		Stale:       stale,
 		Capacity:    capacity,
 	}
-	for id := range machine.running {
+	for _, id := range sortedKeys(machine.running) {
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
 		})
 	}
-	for _, result := range machine.finished {
-		reply.Finished = append(reply.Finished, result)
+	for _, id := range sortedKeys(machine.finished) {
+		reply.Finished = append(reply.Finished, machine.finished[id])
 	}
 	return reply, true
 }
@@ -343,11 +345,15 @@
 	if world.now.Before(machine.expires) {
 		return
 	}
-	for id := range machine.running {
+	for _, id := range sortedKeys(machine.running) {
 		world.finish(machine, id, executor.OutcomeLeaseLapsed)
 	}
 }
 
+func sortedKeys[V any](runs map[descriptor.RunID]V) []descriptor.RunID {
+	return slices.SortedFunc(maps.Keys(runs), compareRuns)
+}
+
 func taskName(id descriptor.RunID) string {
 	return fmt.Sprintf("%s/%d", id.Job, id.Task)
 }
@@ -362,7 +368,7 @@
 	name := taskName(start.Run)
 	for _, other := range world.workers {
 		world.lapse(other)
-		for id := range other.running {
+		for _, id := range sortedKeys(other.running) {
 			if taskName(id) == name {
 				world.t.Fatalf("%s starts on %s while %s runs on %s", start.Run, machine.id, id, other.id)
 			}
--- a/internal/shard/recorder/recorder.go
+++ b/internal/shard/recorder/recorder.go
@@ -47,6 +47,8 @@
 	Run Run
 	// Failures lists the attempts that count towards the limit of attempts.
 	Failures []int
+	// RanAttempt is the latest attempt that ended and was, or may have been, in progress.
+	RanAttempt int
 	// Checkpoint names the latest saved state, and CheckpointAttempt the run that saved it.
 	Checkpoint        string
 	CheckpointAttempt int
@@ -163,6 +165,9 @@
 		task.Failures = append(task.Failures, attempt)
 		task.Failures = task.Failures[max(0, len(task.Failures)-maxFailures):]
 	}
+	if Started(outcome) {
+		task.RanAttempt = max(task.RanAttempt, attempt)
+	}
 	if outcome == executor.OutcomeCheckpointed {
 		task.Checkpoint, task.CheckpointAttempt = ended.Checkpoint, attempt
 	}
@@ -175,6 +180,11 @@
 	task.Run.Ended = fromMillis(ended.EndedUnixMillis)
 }
 
+// Started reports whether a run with this outcome was, or may have been, in progress.
+func Started(outcome executor.Outcome) bool {
+	return outcome != "" && outcome != executor.OutcomeRefused && outcome != OutcomeNotStarted
+}
+
 // Counts reports whether a run with this outcome counts towards the limit of attempts.
 func Counts(outcome executor.Outcome) bool {
 	switch outcome {
--- a/internal/shard/recorder/records.go
+++ b/internal/shard/recorder/records.go
@@ -59,6 +59,13 @@
 			Outcome: executor.OutcomeFailed,
 		}))
 	}
+	if task.RanAttempt > 0 && task.RanAttempt != task.Run.Attempt {
+		id.Attempt = task.RanAttempt
+		records = append(records, RunEnded(executor.RunResult{
+			Run:     id,
+			Outcome: executor.OutcomeStopped,
+		}))
+	}
 	if task.CheckpointAttempt > 0 {
 		id.Attempt = task.CheckpointAttempt
 		records = append(records, RunEnded(executor.RunResult{
