Order by half the estimate and defer teams with ample laxity

Cause: plain laxity with early demotion of late work missed more deadlines than earliest-deadline-first once estimates were wrong, and strict order by team share missed several times as many. Change: the laxity counts half the estimate; work gives way only after its deadline has passed; a team under twice its quota may go first while the next job of the team with the lower share has a laxity of two estimates.

--- a/internal/placement/orderer/orderer.go
+++ b/internal/placement/orderer/orderer.go
@@ -1,5 +1,6 @@
 // Package orderer keeps the waiting work of one shard in the order in which it should start:
 // urgency class, then the team with the lowest share of its quota, then laxity, then arrival.
+// A team whose next job has ample laxity lets a job with less laxity go first.
 //
 // The unit of order is the job; its waiting tasks follow each other. Insertions, removals and pops
 // cost a logarithm of the number of waiting jobs, and a wave of removals costs time linear in its size.
@@ -40,7 +41,7 @@
 
 // Defaults of an Orderer's options.
 const (
-	// DefaultPatience bounds how long jobs without an attainable deadline are passed over.
+	// DefaultPatience bounds how long jobs with no deadline or a missed one are passed over.
 	DefaultPatience = time.Hour
 	// DefaultLookAhead bounds the jobs passed over in each urgency class during one walk.
 	DefaultLookAhead = 64
@@ -50,9 +51,20 @@
 	DefaultMaxReservation = 10 * time.Minute
 )
 
-// shareSteps is the number of steps per quota in which shares are compared, so that laxity
-// decides between teams with about equal shares.
-const shareSteps = 4
+const (
+	// shareSteps is the number of steps per quota in which shares are compared, so that laxity
+	// decides between teams with about equal shares.
+	shareSteps = 4
+	// estimateDivisor reduces the estimate in the laxity. With the whole estimate, wrong estimates
+	// cause more missed deadlines than there are without any; with half of it there are fewer.
+	estimateDivisor = 2
+	// ampleLaxity is the laxity, in estimates, from which a team lets a more urgent job of another
+	// team go first although its own share is lower. It loses no deadline by that, and strict
+	// order by share would miss several times as many.
+	ampleLaxity = 2
+	// maxDeferring is the share up to which a team may be let go first.
+	maxDeferring = 2
+)
 
 // classes is the number of urgency classes.
 const classes = 3
@@ -83,7 +95,8 @@
 	tasks []int
 	team  *team
 	class int
-	// due is the time of the latest start that meets the deadline.
+	// due stands for laxity: it is the deadline less half the estimate, which orders jobs in the same
+	// way at any time.
 	due      time.Time
 	demoted  bool
 	sequence uint64
@@ -162,7 +175,7 @@
 		tasks:    waiting,
 		team:     orderer.team(entry.Team),
 		class:    entry.Urgency.Rank(),
-		due:      entry.Deadline.Add(-entry.Estimate),
+		due:      entry.Deadline.Add(-entry.Estimate / estimateDivisor),
 		sequence: orderer.sequence,
 	}
 	if entry.Deadline.IsZero() {
@@ -260,8 +273,9 @@
 	}
 }
 
-// head returns the first group of a queue, or nil. A group that can no longer meet its deadline gives
-// way to those that can, for a bounded time.
+// head returns the first group of a queue, or nil. A group whose deadline has passed gives way to the
+// others for a bounded time. Groups that seem too late by their estimate keep their place, because
+// estimates are often too long and giving way would make the miss certain.
 func (queue *queue) head(now time.Time, patience time.Duration) *group {
 	for len(queue.groups) > 0 {
 		first := queue.groups[0]
@@ -269,7 +283,7 @@
 		case first.removed:
 			heap.Pop(queue)
 			queue.removed--
-		case !first.demoted && first.due.Before(now):
+		case !first.demoted && first.Deadline.Before(now):
 			first.demoted = true
 			first.due = now.Add(patience)
 			heap.Fix(queue, 0)
--- a/internal/placement/orderer/walk.go
+++ b/internal/placement/orderer/walk.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -78,34 +79,41 @@
 	return Candidate{}, false
 }
 
-// first returns the group of a class that starts first, and drops teams without groups from the list.
+// first returns the group of a class that starts first.
 func (orderer *Orderer) first(now time.Time, class int) *group {
-	var best *group
+	var best, tightest *group
 	bestStep := 0
 	limit := option(orderer.TeamLookAhead, DefaultTeamLookAhead)
-	teams := orderer.active[class]
-	for i := 0; i < len(teams); {
-		team := teams[i]
-		head := team.queues[class].head(now, orderer.patience())
-		if head == nil {
-			team.listed[class] = false
-			teams[i] = teams[len(teams)-1]
-			teams = teams[:len(teams)-1]
-			continue
-		}
-		i++
+	orderer.dropIdle(now, class)
+	for _, team := range orderer.active[class] {
 		if team.passed >= limit {
 			continue
 		}
-		step := int(team.share() * shareSteps)
+		head := team.queues[class].groups[0]
+		share := team.share()
+		step := int(share * shareSteps)
 		if best == nil || step < bestStep || step == bestStep && head.before(best) {
 			best, bestStep = head, step
 		}
+		if share < maxDeferring && !head.demoted && (tightest == nil || head.before(tightest)) {
+			tightest = head
+		}
+	}
+	if tightest != nil && tightest.before(best) && !best.demoted && best.due.Sub(now) > ampleLaxity*best.Estimate {
+		return tightest
 	}
-	orderer.active[class] = teams
 	return best
 }
 
+// dropIdle takes the teams without groups of a class from its list and brings the first group of
+// each other team to the top of its queue.
+func (orderer *Orderer) dropIdle(now time.Time, class int) {
+	orderer.active[class] = slices.DeleteFunc(orderer.active[class], func(team *team) bool {
+		team.listed[class] = team.queues[class].head(now, orderer.patience()) != nil
+		return !team.listed[class]
+	})
+}
+
 func (one *group) candidate() Candidate {
 	candidate := Candidate{
 		Entry: one.Entry,
