--- a/internal/placement/placer/choose.go
+++ b/internal/placement/placer/choose.go
@@ -70,7 +70,7 @@
 
 const (
 	// candidatesPerOrder bounds the workers compared per bucket and order.
-	candidatesPerOrder = 8
+	candidatesPerOrder = 4
 	// spreadCandidates bounds the equally loaded workers compared when spreading.
 	spreadCandidates = 4
 )
@@ -104,11 +104,11 @@
 		placed = append(placed, worker.ID)
 		placer.init()
 		placer.count(request.Job, worker, 1)
-		placer.take(worker, request.Need)
+		take(worker, request.Need)
 	}
 	for _, worker := range slices.Backward(chosen) {
 		placer.count(request.Job, worker, -1)
-		placer.take(worker, descriptor.Resources{}.Sub(request.Need))
+		take(worker, descriptor.Resources{}.Sub(request.Need))
 	}
 	if len(placed) < n {
 		return nil, placer.refuse(&request, n, len(placed))
@@ -173,13 +173,13 @@
 		}
 		for i := request.Need.Accelerators; i < int64(len(buckets)); i++ {
 			found := false
-			buckets[i].candidates(request, func(worker *entry) {
+			buckets[i].candidates(request, func(worker *entry, milliCPU, memory int64) {
 				if len(request.Avoid) > 0 && slices.Contains(request.Avoid, worker.ID) {
 					avoided = worker
 					return
 				}
 				found = true
-				if score := placer.score(request, worker); best == nil || score < bestScore {
+				if score := placer.score(request, milliCPU, memory) + float64(i); best == nil || score < bestScore {
 					best, bestScore = worker, score
 				}
 			})
@@ -195,35 +195,44 @@
 }
 
 // candidates calls compare for the workers with the least fitting amounts of either resource.
-func (bucket *bucket) candidates(request *Request, compare func(*entry)) {
+func (bucket *bucket) candidates(request *Request, compare func(worker *entry, milliCPU, memory int64)) {
 	left := candidatesPerOrder + len(request.Avoid)
-	accept := func(worker *entry) bool {
-		compare(worker)
+	bucket.byMilliCPU.root.visit(request.Need.MilliCPU, request.Need.MemoryBytes, func(found *node) bool {
+		compare(found.worker, found.key, found.other)
 		left--
 		return left > 0
-	}
-	bucket.byMilliCPU.root.visit(request.Need.MilliCPU, request.Need.MemoryBytes, accept)
+	})
 	left = candidatesPerOrder + len(request.Avoid)
-	bucket.byMemory.root.visit(request.Need.MemoryBytes, request.Need.MilliCPU, accept)
+	bucket.byMemory.root.visit(request.Need.MemoryBytes, request.Need.MilliCPU, func(found *node) bool {
+		compare(found.worker, found.other, found.key)
+		left--
+		return left > 0
+	})
 }
 
 // score is lower for a better fit. Among the fullest workers, the one is best on which the task leaves
 // processors and memory in, or nearest to, the proportion they have over the whole shard, because
 // what is left is then of use to other work.
-func (placer *Placer) score(request *Request, worker *entry) float64 {
-	left := worker.free.Sub(request.Need)
-	return float64(left.Accelerators) + placer.imbalance(left) - placer.imbalance(worker.free)
+func (placer *Placer) score(request *Request, milliCPU, memory int64) float64 {
+	after := placer.balance.of(milliCPU-request.Need.MilliCPU, memory-request.Need.MemoryBytes)
+	return math.Abs(after) - math.Abs(placer.balance.of(milliCPU, memory))
 }
 
-func (placer *Placer) imbalance(amount descriptor.Resources) float64 {
-	return math.Abs(fraction(amount.MilliCPU, placer.capacity.MilliCPU) - fraction(amount.MemoryBytes, placer.capacity.MemoryBytes))
+// balance weighs processors against memory by the amounts that the shard has.
+type balance struct {
+	perMilliCPU, perByte float64
 }
 
-func fraction(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
+func newBalance(capacity descriptor.Resources) balance {
+	return balance{
+		perMilliCPU: 1 / float64(max(capacity.MilliCPU, 1)),
+		perByte:     1 / float64(max(capacity.MemoryBytes, 1)),
 	}
-	return float64(part) / float64(whole)
+}
+
+// of is positive if there is more processor time than memory in proportion.
+func (balance balance) of(milliCPU, memory int64) float64 {
+	return float64(milliCPU)*balance.perMilliCPU - float64(memory)*balance.perByte
 }
 
 // spread returns the worker on the rack, or the worker itself, with the fewest runs of the job.
@@ -244,7 +253,7 @@
 				continue
 			}
 			count := counts.of(request.Spread, worker)
-			score := placer.score(request, worker)
+			score := placer.score(request, worker.free.MilliCPU, worker.free.MemoryBytes) + float64(worker.free.Accelerators)
 			if best == nil || count < bestCount || count == bestCount && score < bestScore {
 				best, bestCount, bestScore = worker, count, score
 			}
--- a/internal/placement/placer/index.go
+++ b/internal/placement/placer/index.go
@@ -90,6 +90,7 @@
 	group.capacities[worker.Capacity]++
 	group.states[worker.State]++
 	placer.capacity = placer.capacity.Add(worker.Capacity)
+	placer.balance = newBalance(placer.capacity)
 	placer.joinRack(worker)
 	if worker.State == Trial {
 		placer.trials = append(placer.trials, worker)
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -79,8 +79,9 @@
 	hold   Hold
 	// ordinal numbers the workers, so that ties are broken in the same way in every replay.
 	ordinal uint64
-	// capacity and reserved are sums over all workers.
-	capacity, reserved descriptor.Resources
+	// capacity is the sum over all workers and balance follows from it.
+	capacity descriptor.Resources
+	balance  balance
 	// cursor is where the next search for preemption victims starts.
 	cursor int
 }
@@ -240,7 +241,7 @@
 		worker.preemptible[request.Rank] = worker.preemptible[request.Rank].Add(request.Need)
 	}
 	placer.count(request.Run.Job, worker, 1)
-	placer.take(worker, request.Need)
+	take(worker, request.Need)
 	return nil
 }
 
@@ -276,7 +277,7 @@
 	if request.Preemptible {
 		worker.preemptible[request.Rank] = worker.preemptible[request.Rank].Add(request.Need)
 	}
-	placer.take(worker, growth)
+	take(worker, growth)
 	return nil
 }
 
@@ -305,12 +306,11 @@
 		worker.preemptible[run.Rank] = worker.preemptible[run.Rank].Sub(run.Need)
 	}
 	placer.count(run.Run.Job, worker, -1)
-	placer.take(worker, descriptor.Resources{}.Sub(run.Need))
+	take(worker, descriptor.Resources{}.Sub(run.Need))
 }
 
 // take changes a worker's free capacity and its position in the index.
-func (placer *Placer) take(worker *entry, amount descriptor.Resources) {
-	placer.reserved = placer.reserved.Add(amount)
+func take(worker *entry, amount descriptor.Resources) {
 	worker.unindex()
 	worker.free = worker.free.Sub(amount)
 	worker.index()
--- a/internal/placement/placer/tree.go
+++ b/internal/placement/placer/tree.go
@@ -125,7 +125,7 @@
 
 // visit calls accept for the nodes with at least key and other, smallest key first, until it
 // returns false. It returns false if accept did.
-func (one *node) visit(key, other int64, accept func(*entry) bool) bool {
+func (one *node) visit(key, other int64, accept func(*node) bool) bool {
 	if one == nil || one.maxOther < other {
 		return true
 	}
@@ -133,7 +133,7 @@
 		if !one.left.visit(key, other, accept) {
 			return false
 		}
-		if one.other >= other && !accept(one.worker) {
+		if one.other >= other && !accept(one) {
 			return false
 		}
 	}
