Split the search by labels and free capacity out of the placer

Change: package indexer with classes, buckets and the tree; a test of accelerator, spread, trial and refusal behaviour; a benchmark of a full shard.

--- a/internal/placement/placer/tree.go
+++ b/internal/placement/indexer/tree.go
@@ -1,16 +1,17 @@
-package placer
+package indexer
 
 // tree is a treap of workers in order of free processor time. Each node knows the largest amount of
 // free memory below it, so that workers with enough of both are found in logarithmic time.
-type tree struct {
-	root *node
+type tree[T any] struct {
+	root *node[T]
 }
 
-type node struct {
-	worker      *entry
-	left, right *node
-	priority    uint64
-	// milliCPU orders the nodes, ties are broken by the worker's ordinal.
+type node[T any] struct {
+	value       T
+	left, right *node[T]
+	// ordinal breaks ties and gives the priority.
+	ordinal uint64
+	// milliCPU orders the nodes, ties are broken by the ordinal.
 	milliCPU int64
 	// memory is the worker's and maxMemory the largest in the subtree.
 	memory, maxMemory int64
@@ -24,14 +25,14 @@
 	return value ^ value>>31
 }
 
-func (one *node) less(other *node) bool {
+func (one *node[T]) less(other *node[T]) bool {
 	if one.milliCPU != other.milliCPU {
 		return one.milliCPU < other.milliCPU
 	}
-	return one.worker.ordinal < other.worker.ordinal
+	return one.ordinal < other.ordinal
 }
 
-func (one *node) update() {
+func (one *node[T]) update() {
 	one.maxMemory = one.memory
 	if one.left != nil {
 		one.maxMemory = max(one.maxMemory, one.left.maxMemory)
@@ -41,15 +42,15 @@
 	}
 }
 
-func (tree *tree) insert(added *node) {
+func (tree *tree[T]) insert(added *node[T]) {
 	tree.root = insert(tree.root, added)
 }
 
-func insert(root, added *node) *node {
+func insert[T any](root, added *node[T]) *node[T] {
 	if root == nil {
 		return added
 	}
-	if added.priority > root.priority {
+	if mix(added.ordinal) > mix(root.ordinal) {
 		added.left, added.right = split(root, added)
 		added.update()
 		return added
@@ -64,7 +65,7 @@
 }
 
 // split cuts a subtree into the nodes before and after pivot.
-func split(root, pivot *node) (before, after *node) {
+func split[T any](root, pivot *node[T]) (before, after *node[T]) {
 	if root == nil {
 		return nil, nil
 	}
@@ -79,11 +80,11 @@
 	return before, after
 }
 
-func (tree *tree) remove(removed *node) {
+func (tree *tree[T]) remove(removed *node[T]) {
 	tree.root = remove(tree.root, removed)
 }
 
-func remove(root, removed *node) *node {
+func remove[T any](root, removed *node[T]) *node[T] {
 	if root == removed {
 		return merge(root.left, root.right)
 	}
@@ -96,13 +97,13 @@
 	return root
 }
 
-func merge(before, after *node) *node {
+func merge[T any](before, after *node[T]) *node[T] {
 	switch {
 	case before == nil:
 		return after
 	case after == nil:
 		return before
-	case before.priority > after.priority:
+	case mix(before.ordinal) > mix(after.ordinal):
 		before.right = merge(before.right, after)
 		before.update()
 		return before
@@ -115,7 +116,7 @@
 
 // visit calls accept for the nodes with at least these amounts, in order, until it returns false.
 // It returns false if accept did.
-func (one *node) visit(milliCPU, memory int64, accept func(*node) bool) bool {
+func (one *node[T]) visit(milliCPU, memory int64, accept func(T) bool) bool {
 	if one == nil || one.maxMemory < memory {
 		return true
 	}
@@ -123,7 +124,7 @@
 		if !one.left.visit(milliCPU, memory, accept) {
 			return false
 		}
-		if one.memory >= memory && !accept(one) {
+		if one.memory >= memory && !accept(one.value) {
 			return false
 		}
 	}
--- a/internal/placement/placer/bench_test.go
+++ b/internal/placement/placer/bench_test.go
@@ -222,6 +222,42 @@
 	}
 }
 
+// BenchmarkFull measures the rarer questions on a shard that refuses work.
+func BenchmarkFull(b *testing.B) {
+	var index placer.Placer
+	generator := newGenerator("Target", 1)
+	generator.fill(&index, 1400)
+	for refused := 0; refused < 20_000; {
+		request, reservation := generator.draw()
+		reservation.Rank, reservation.Preemptible = generator.task%3, generator.task%2 == 0
+		reservation.End = epoch.Add(time.Duration(generator.task) * time.Second)
+		if id, err := index.Place(request); err != nil {
+			refused++
+		} else if err := index.Reserve(id, reservation); err != nil {
+			b.Fatal(err)
+		}
+	}
+	large := placer.Request{
+		Job:  "large",
+		Need: descriptor.Resources{MilliCPU: 8000, MemoryBytes: 16 * gigabyte},
+	}
+	small := large
+	small.Need = descriptor.Resources{MilliCPU: 250}
+	for name, ask := range map[string]func(){
+		"Refuse":    func() { _, _ = index.Place(large) },
+		"ProbeAny":  func() { index.ProbeAny(large, 0) },
+		"Gang200":   func() { _, _ = index.PlaceGang(small, 200) },
+		"RefuseAll": func() { _, _ = index.PlaceGang(large, 200) },
+		"Forecast":  func() { index.Forecast(large, 200, epoch) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				ask()
+			}
+		})
+	}
+}
+
 // BenchmarkPacking fills empty workers until the first refusal. The fractional upper bound is the
 // whole capacity of the resource that the same tasks use up first.
 func BenchmarkPacking(b *testing.B) {
--- a/internal/placement/placer/choose.go
+++ b/internal/placement/placer/choose.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/placement/indexer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -122,7 +123,7 @@
 	if request.Need.Negative() {
 		return nil
 	}
-	groups := placer.matching(request.Where)
+	groups := placer.index.Matching(request.Where)
 	if request.TrialAllowed {
 		if worker := placer.chooseTrial(request); worker != nil {
 			return worker
@@ -148,7 +149,7 @@
 func (placer *Placer) chooseTrial(request *Request) *entry {
 	for _, worker := range placer.trials {
 		if worker.trialRuns == 0 && request.Need.Fits(worker.free) && !slices.Contains(request.Avoid, worker.ID) &&
-			request.Where.matches(worker.class.labels) {
+			request.Where.Matches(worker.item.Labels()) {
 			return worker
 		}
 	}
@@ -157,16 +158,17 @@
 
 // bestFit searches workers without accelerators before the others, and those with the fewest free
 // accelerators first, so that accelerators stay free for the work that needs them.
-func (placer *Placer) bestFit(request *Request, groups []*class, held bool) *entry {
+func (placer *Placer) bestFit(request *Request, groups []*indexer.Class[*entry], held bool) *entry {
 	search := search{
 		placer:  placer,
 		request: request,
 	}
 	for i, group := range groups {
-		if search.best != nil && group.accelerated && !groups[i-1].accelerated {
+		if search.best != nil && group.Accelerated && !groups[i-1].Accelerated {
 			break
 		}
-		search.class(group, held)
+		search.left = maxCandidates
+		group.Visit(held, request.Need, search.compare)
 	}
 	if search.best == nil {
 		return search.avoided
@@ -182,37 +184,21 @@
 	score   float64
 	// avoided is a worker that fits but that the request avoids.
 	avoided *entry
-	// left counts the workers that may still be compared in a bucket.
+	// left counts the workers that may still be compared in a class.
 	left int
 }
 
-func (search *search) class(group *class, held bool) {
-	buckets := group.open
-	if held {
-		buckets = group.held
-	}
-	need := search.request.Need
-	for i := need.Accelerators; i < int64(len(buckets)); i++ {
-		search.left = maxCandidates
-		buckets[i].root.visit(need.MilliCPU, need.MemoryBytes, search.compare)
-		if search.left < maxCandidates {
-			return
-		}
-	}
-}
-
-func (search *search) compare(found *node) bool {
-	worker := found.worker
+func (search *search) compare(worker *entry) (found, more bool) {
 	if len(search.request.Avoid) > 0 && slices.Contains(search.request.Avoid, worker.ID) {
 		search.avoided = worker
-		return true
+		return false, true
 	}
 	score := search.placer.score(search.request, worker)
 	if search.best == nil || score < search.score {
 		search.best, search.score = worker, score
 	}
 	search.left--
-	return search.left > 0
+	return true, search.left > 0
 }
 
 // score is lower for a better fit. Among the fullest workers, the one is best on which the task leaves
@@ -253,8 +239,8 @@
 	for i := range placer.racks {
 		shelf := placer.racks[(i+counts.total)%len(placer.racks)]
 		for _, worker := range shelf.workers {
-			if worker.bucket == nil || worker.held && !mayUseHeld || !request.Need.Fits(worker.free) ||
-				!request.Where.matches(worker.class.labels) || slices.Contains(request.Avoid, worker.ID) {
+			if !worker.item.IsOpen() || worker.held && !mayUseHeld || !request.Need.Fits(worker.free) ||
+				!request.Where.Matches(worker.item.Labels()) || slices.Contains(request.Avoid, worker.ID) {
 				continue
 			}
 			count := counts.of(request.Spread, worker)
@@ -288,9 +274,10 @@
 func (placer *Placer) room(request *Request, n int) int {
 	mayUseHeld := placer.mayUseHeld(request)
 	room := 0
-	for _, group := range placer.matching(request.Where) {
-		for _, worker := range group.workers {
-			if worker.bucket == nil || worker.held && !mayUseHeld {
+	for _, group := range placer.index.Matching(request.Where) {
+		for _, item := range group.Items {
+			worker := item.Value
+			if !worker.item.IsOpen() || worker.held && !mayUseHeld {
 				continue
 			}
 			room += int(times(request.Need, worker.free, int64(n)))
@@ -327,16 +314,16 @@
 		Room:    room,
 	}
 	var possible int64
-	for _, group := range placer.matching(request.Where) {
-		refusal.Matching += len(group.workers)
-		for capacity, count := range group.capacities {
+	for _, group := range placer.index.Matching(request.Where) {
+		refusal.Matching += len(group.Items)
+		for capacity, count := range group.Capacities {
 			if fitting := times(request.Need, capacity, int64(n)); fitting > 0 {
 				refusal.LargeEnough += count
 				possible += fitting * int64(count)
 			}
 		}
-		refusal.Leaving += group.states[Leaving]
-		refusal.Quarantined += group.states[Quarantined]
+		refusal.Leaving += group.Tags[Leaving]
+		refusal.Quarantined += group.Tags[Quarantined]
 	}
 	refusal.Held = len(placer.hold.Workers)
 	switch {
--- a/internal/placement/placer/hold.go
+++ b/internal/placement/placer/hold.go
@@ -29,9 +29,9 @@
 		return Hold{}, false
 	}
 	var vacancies []vacancy
-	for _, group := range placer.matching(request.Where) {
-		for _, worker := range group.workers {
-			if worker.State == InUse {
+	for _, group := range placer.index.Matching(request.Where) {
+		for _, item := range group.Items {
+			if worker := item.Value; worker.State == InUse {
 				vacancies = worker.vacancies(vacancies, request.Need, int64(n), now)
 			}
 		}
@@ -116,7 +116,6 @@
 }
 
 func (worker *entry) setHeld(held bool) {
-	worker.unindex()
 	worker.held = held
-	worker.index()
+	worker.reindex()
 }
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -1,8 +1,7 @@
 // Package placer indexes the workers of one shard and chooses workers for tasks and gangs.
 //
-// Workers with equal labels form a class, and selectors are matched once per class. Within a class,
-// workers are kept in buckets by their number of free accelerators, and each bucket is a tree in order
-// of free processor time. A decision therefore costs a logarithm of the number of workers. The index holds reservations, so nothing can be reserved past a worker's capacity.
+// The index holds reservations, so nothing can be reserved past a worker's capacity. A decision costs
+// a logarithm of the number of workers.
 package placer
 
 import (
@@ -11,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/placement/indexer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -67,9 +67,7 @@
 type Placer struct {
 	workers map[descriptor.WorkerID]*entry
 	runs    map[descriptor.RunID]*reservation
-	classes map[string]*class
-	// matches caches the classes that a Where matches; it is dropped when a class is added or removed.
-	matches map[string][]*class
+	index   indexer.Index[*entry]
 	racks   []*rack
 	byRack  map[string]*rack
 	// jobs counts the runs of each job per rack and per worker, for spreading.
@@ -89,7 +87,6 @@
 type entry struct {
 	Worker
 	ordinal   uint64
-	class     *class
 	rack      *rack
 	free      descriptor.Resources
 	runs      []*reservation
@@ -97,9 +94,7 @@
 	held      bool
 	// preemptible sums the preemptible reservations of each rank.
 	preemptible [MaxRank + 1]descriptor.Resources
-	// bucket is nil while the worker takes no work.
-	bucket *tree
-	node   node
+	item        indexer.Item[*entry]
 }
 
 type reservation struct {
@@ -310,9 +305,8 @@
 
 // take changes a worker's free capacity and its position in the index.
 func take(worker *entry, amount descriptor.Resources) {
-	worker.unindex()
 	worker.free = worker.free.Sub(amount)
-	worker.index()
+	worker.reindex()
 }
 
 func (placer *Placer) count(job descriptor.JobID, worker *entry, change int) {
@@ -344,8 +338,6 @@
 	}
 	placer.workers = map[descriptor.WorkerID]*entry{}
 	placer.runs = map[descriptor.RunID]*reservation{}
-	placer.classes = map[string]*class{}
-	placer.matches = map[string][]*class{}
 	placer.byRack = map[string]*rack{}
 	placer.jobs = map[descriptor.JobID]*spreadCount{}
 }
--- a/internal/placement/placer/placer_test.go
+++ b/internal/placement/placer/placer_test.go
@@ -248,3 +248,67 @@
 		})
 	})
 }
+
+// TestPreferences guards against processor work on accelerator workers while others have room, tasks
+// of one job on few racks or workers, and trials with work that does not allow them.
+func TestPreferences(t *testing.T) {
+	var index placer.Placer
+	set := func(i int, accelerators int64, state placer.State) {
+		if err := index.SetWorker(placer.Worker{
+			ID:       descriptor.WorkerID(fmt.Sprint("w", i)),
+			Place:    descriptor.Place{Rack: fmt.Sprint(i / 4)},
+			Capacity: descriptor.Resources{MilliCPU: 10, Accelerators: accelerators},
+			State:    state,
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 16 {
+		set(i, int64(i/12), placer.InUse)
+	}
+	need := descriptor.Resources{MilliCPU: 1}
+	for _, spread := range []parser.Spread{parser.SpreadRack, parser.SpreadWorker} {
+		racks, workers := map[string]int{}, map[descriptor.WorkerID]int{}
+		placed, err := index.PlaceGang(placer.Request{Job: "j", Need: need, Spread: spread}, 12)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, id := range placed {
+			worker, _, _ := index.Worker(id)
+			racks[worker.Place.Rack]++
+			workers[id]++
+		}
+		if spread == parser.SpreadRack && (len(racks) != 4 || racks["0"] != 3 || racks["3"] != 3) || len(workers) != 12 {
+			t.Errorf("spread by %v: racks %v, workers %v", spread, racks, workers)
+		}
+	}
+	for i := range 12 {
+		id, err := index.Place(placer.Request{Need: need.Scale(10)})
+		if err != nil || index.Reserve(id, placer.Reservation{Run: descriptor.RunID{Task: i}, Need: need.Scale(10)}) != nil {
+			t.Fatal(err)
+		}
+		if worker, _, _ := index.Worker(id); worker.Capacity.Accelerators > 0 {
+			t.Fatalf("processor work %d is on an accelerator worker", i)
+		}
+	}
+	set(16, 0, placer.Trial)
+	for allowed, want := range map[bool]descriptor.WorkerID{true: "w16", false: "w12"} {
+		if id, err := index.Place(placer.Request{Need: need, TrialAllowed: allowed}); err != nil || (id == "w16") != (want == "w16") {
+			t.Errorf("trial allowed %v: placed on %v: %v", allowed, id, err)
+		}
+	}
+	for _, refused := range []struct {
+		request placer.Request
+		want    error
+	}{
+		{placer.Request{Need: need.Scale(11)}, placer.ErrTooLarge},
+		{placer.Request{Need: descriptor.Resources{MilliCPU: 1, Accelerators: 2}}, placer.ErrTooLarge},
+	} {
+		if _, err := index.Place(refused.request); !errors.Is(err, refused.want) {
+			t.Errorf("%+v: %v, want %v", refused.request.Need, err, refused.want)
+		}
+	}
+	if _, err := index.PlaceGang(placer.Request{Need: need.Scale(10)}, 5); !errors.Is(err, placer.ErrNoRoom) {
+		t.Errorf("a gang that would fit the empty workers: %v", err)
+	}
+}
--- a/internal/placement/placer/probe.go
+++ b/internal/placement/placer/probe.go
@@ -39,10 +39,10 @@
 	var bestVictims []*reservation
 	bestCost := 0.0
 	probed := 0
-	for _, group := range placer.matching(request.Where) {
-		for i := range group.workers {
-			worker := group.workers[(i+placer.cursor)%len(group.workers)]
-			if worker.bucket == nil || worker.held || !worker.couldFit(request.Need, rank) ||
+	for _, group := range placer.index.Matching(request.Where) {
+		for i := range group.Items {
+			worker := group.Items[(i+placer.cursor)%len(group.Items)].Value
+			if !worker.item.IsOpen() || worker.held || !worker.couldFit(request.Need, rank) ||
 				slices.Contains(request.Avoid, worker.ID) {
 				continue
 			}
