--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -1,9 +1,7 @@
 // Package placer indexes the workers of one shard and chooses workers for tasks and gangs.
 //
-// Workers with equal labels form a class, and selectors are matched once per class. Within a class,
-// workers are kept in buckets by their number of free accelerators, and each bucket is ordered by
-// free processor time and by free memory. A decision therefore costs a logarithm of the number of
-// workers. The index holds reservations, so nothing can be reserved past a worker's capacity.
+// The index holds reservations, so nothing can be reserved past a worker's capacity. A decision costs
+// a logarithm of the number of workers.
 package placer
 
 import (
@@ -12,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/placement/indexer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -68,9 +67,7 @@
 type Placer struct {
 	workers map[descriptor.WorkerID]*entry
 	runs    map[descriptor.RunID]*reservation
-	classes map[string]*class
-	// matches caches the classes that a Where matches; it is dropped when a class is added or removed.
-	matches map[string][]*class
+	index   indexer.Index[*entry]
 	racks   []*rack
 	byRack  map[string]*rack
 	// jobs counts the runs of each job per rack and per worker, for spreading.
@@ -79,8 +76,9 @@
 	hold   Hold
 	// ordinal numbers the workers, so that ties are broken in the same way in every replay.
 	ordinal uint64
-	// capacity and reserved are sums over all workers.
-	capacity, reserved descriptor.Resources
+	// capacity is the sum over all workers and balance follows from it.
+	capacity descriptor.Resources
+	balance  balance
 	// cursor is where the next search for preemption victims starts.
 	cursor int
 }
@@ -89,7 +87,6 @@
 type entry struct {
 	Worker
 	ordinal   uint64
-	class     *class
 	rack      *rack
 	free      descriptor.Resources
 	runs      []*reservation
@@ -97,9 +94,7 @@
 	held      bool
 	// preemptible sums the preemptible reservations of each rank.
 	preemptible [MaxRank + 1]descriptor.Resources
-	bucket      *bucket
-	byMilliCPU  node
-	byMemory    node
+	item        indexer.Item[*entry]
 }
 
 type reservation struct {
@@ -240,7 +235,7 @@
 		worker.preemptible[request.Rank] = worker.preemptible[request.Rank].Add(request.Need)
 	}
 	placer.count(request.Run.Job, worker, 1)
-	placer.take(worker, request.Need)
+	take(worker, request.Need)
 	return nil
 }
 
@@ -276,7 +271,7 @@
 	if request.Preemptible {
 		worker.preemptible[request.Rank] = worker.preemptible[request.Rank].Add(request.Need)
 	}
-	placer.take(worker, growth)
+	take(worker, growth)
 	return nil
 }
 
@@ -305,15 +300,13 @@
 		worker.preemptible[run.Rank] = worker.preemptible[run.Rank].Sub(run.Need)
 	}
 	placer.count(run.Run.Job, worker, -1)
-	placer.take(worker, descriptor.Resources{}.Sub(run.Need))
+	take(worker, descriptor.Resources{}.Sub(run.Need))
 }
 
 // take changes a worker's free capacity and its position in the index.
-func (placer *Placer) take(worker *entry, amount descriptor.Resources) {
-	placer.reserved = placer.reserved.Add(amount)
-	worker.unindex()
+func take(worker *entry, amount descriptor.Resources) {
 	worker.free = worker.free.Sub(amount)
-	worker.index()
+	worker.reindex()
 }
 
 func (placer *Placer) count(job descriptor.JobID, worker *entry, change int) {
@@ -345,8 +338,6 @@
 	}
 	placer.workers = map[descriptor.WorkerID]*entry{}
 	placer.runs = map[descriptor.RunID]*reservation{}
-	placer.classes = map[string]*class{}
-	placer.matches = map[string][]*class{}
 	placer.byRack = map[string]*rack{}
 	placer.jobs = map[descriptor.JobID]*spreadCount{}
 }
