request: forget the turns of cancelled callers, return the status of failures

A class whose items were all cancelled kept an empty queue for each of their callers until the next Take. The result of a failed request now carries the upstream's status.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -116,9 +116,9 @@
 		ID:      call.id,
 		Fate:    verdict.Fate,
 		Problem: verdict.Problem,
+		Status:  answer.status,
 	}
 	if _, done := verdict.Fate.(descriptor.Done); done {
-		result.Status = answer.status
 		result.Body = answer.body
 	}
 	return result
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -55,9 +55,10 @@
 	// ID is that of the request, for the caller and the logs.
 	ID   string
 	Fate descriptor.Fate
-	// Status and Body are the upstream's answer when the fate is Done.
+	// Status is that of the upstream's answer to the last attempt, or 0 without one.
 	Status int
-	Body   []byte
+	// Body is the upstream's answer when the fate is Done.
+	Body []byte
 	// Problem is set when the fate is not Done.
 	Problem *descriptor.Problem
 }
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
@@ -145,6 +146,16 @@
 	return list
 }
 
+func newForwarder(t *testing.T, upstream *upstream) *Forwarder {
+	forwarder, stop := New(Options{
+		Self:      "a",
+		Region:    "kigali",
+		Requester: upstream,
+	})
+	t.Cleanup(stop)
+	return forwarder
+}
+
 // pair is two entry instances of one region that forward to each other.
 type pair struct {
 	forwarders map[string]*Forwarder
@@ -318,12 +329,7 @@
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
-		forwarder, stop := New(Options{
-			Self:      "a",
-			Region:    "kigali",
-			Requester: upstream,
-		})
-		defer stop()
+		forwarder := newForwarder(t, upstream)
 		forwarder.SetInstances(runners(1))
 		request := Request{
 			Service: "desk",
@@ -368,12 +374,7 @@
 func TestRunners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
-		forwarder, stop := New(Options{
-			Self:      "a",
-			Region:    "kigali",
-			Requester: upstream,
-		})
-		defer stop()
+		forwarder := newForwarder(t, upstream)
 		compiled, err := parser.Compile(1, parser.Config{
 			Policies: []parser.Policy{
 				{
@@ -427,12 +428,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
 		upstream.busy = 2
-		forwarder, stop := New(Options{
-			Self:      "a",
-			Region:    "kigali",
-			Requester: upstream,
-		})
-		defer stop()
+		forwarder := newForwarder(t, upstream)
 		forwarder.SetInstances(runners(1))
 		result := forwarder.Do(t.Context(), Request{
 			Service:  "desk",
@@ -444,3 +440,42 @@
 		}
 	})
 }
+
+// instant answers at once.
+type instant struct{}
+
+func (instant) Send(_ context.Context, _ netip.AddrPort, request requester.Request) (requester.Response, error) {
+	return requester.Response{
+		ID:     request.ID,
+		Status: 200,
+	}, nil
+}
+
+// BenchmarkDo measures what the entry instance itself adds to a request, with 50 runners and as
+// many callers as processors.
+func BenchmarkDo(b *testing.B) {
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Reporter: tally.NullStatsReporter,
+	}, time.Second)
+	defer closer.Close()
+	forwarder, stop := New(Options{
+		Self:      "a",
+		Region:    "kigali",
+		Requester: instant{},
+		Scope:     scope,
+	})
+	defer stop()
+	forwarder.SetInstances(runners(50))
+	request := Request{
+		Service: "desk",
+		Caller:  "kiosk",
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if result := forwarder.Do(context.Background(), request); result.Problem != nil {
+				b.Error(result.Problem)
+			}
+		}
+	})
+}
--- a/internal/request/queuer/lane.go
+++ b/internal/request/queuer/lane.go
@@ -230,7 +230,12 @@
 		return
 	}
 	heap.Remove(&class.greediest, queue.index)
-	if !queue.turning {
+	switch {
+	case class.length == 0:
+		// Empty queues that keep their turn would pile up when all items are cancelled.
+		clear(class.callers)
+		class.turns = nil
+	case !queue.turning:
 		delete(class.callers, queue.caller)
 	}
 }
@@ -248,6 +253,9 @@
 
 // endTurn passes the turn to the next caller.
 func (class *class) endTurn() {
+	if len(class.turns) == 0 {
+		return
+	}
 	queue := class.turns[0]
 	class.turns[0] = nil
 	class.turns = class.turns[1:]
