--- a/internal/local/coordinator/fake_test.go
+++ b/internal/local/coordinator/fake_test.go
@@ -60,6 +60,7 @@
 	requester requester.Requester
 	ctx       context.Context
 	group     sync.WaitGroup
+	drain     chan struct{}
 }
 
 func (cell *cell) build(settings loader.Settings, dial sender.DialFunc, _ *slog.Logger) (launcher.Instance, func(), error) {
@@ -83,6 +84,7 @@
 		executor:  executor,
 		requester: requester,
 		ctx:       ctx,
+		drain:     make(chan struct{}),
 	}
 	for _, listener := range []*net.Listener{&instance.http, &instance.peer} {
 		if *listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -119,16 +121,25 @@
 		Readiness: instance,
 	}
 	server := api.Server()
-	defer context.AfterFunc(ctx, func() {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() {
 		_ = server.Close()
-	})()
+	})
+	instance.group.Go(func() {
+		<-instance.drain
+		cancel()
+	})
 	if err := server.Serve(instance.http); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
-func (instance *instance) Drain(context.Context) error { return nil }
+func (instance *instance) Drain(context.Context) error {
+	close(instance.drain)
+	return nil
+}
 
 func (instance *instance) Live() error { return nil }
 
--- a/internal/local/launcher/entries.go
+++ b/internal/local/launcher/entries.go
@@ -45,8 +45,7 @@
 func (cell *Cell) startEntry(client *lister.Client, index int) error {
 	place := cell.place(index, 0)
 	settings := cell.settings(index, place)
-	log := cell.options.Log.With("Instance", settings.ID)
-	instance, end, err := cell.options.Build(settings, cell.network.dialer(settings.ID, place), log)
+	instance, end, err := cell.options.Build(settings, cell.network.dialer(settings.ID, place), cell.options.Log)
 	if err != nil {
 		return err
 	}
@@ -93,7 +92,7 @@
 	settings.List = cell.keeper.Address()
 	settings.Limits.RunnerSlots = scenario.Runners.Slots
 	settings.Limits.RunnerConnections = scenario.Runners.Connections
-	settings.Timeouts.Drain.Duration = cell.options.Drain
+	settings.Timeouts.Drain.Duration = cell.options.Drain * 3 / 4
 	for _, site := range scenario.Sites {
 		settings.Shards = append(settings.Shards, loader.SiteShards{
 			Region: site.Region,
@@ -143,6 +142,13 @@
 	entry.setStopping()
 	entry.announcer.SetState(lister.StateLeaving)
 	err := entry.instance.Drain(ctx)
+	if err == nil {
+		select {
+		case <-entry.served:
+		case <-ctx.Done():
+			err = errors.New("not ended in time")
+		}
+	}
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
 	if err != nil && entry.failure == nil {
--- a/internal/local/launcher/launcher.go
+++ b/internal/local/launcher/launcher.go
@@ -38,7 +38,7 @@
 	Peer() netip.AddrPort
 	// Serve answers until ctx ends.
 	Serve(ctx context.Context) error
-	// Drain is the planned stop.
+	// Drain begins the planned stop, after which Serve returns.
 	Drain(ctx context.Context) error
 }
 
