manager: keep shards in their own region; count peer bytes by call

Change: a shard of another region is taken only after 10 s without a claim and given back when a candidate of its region is live. Byte counts of peer calls are kept by region and method.

--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -280,6 +280,7 @@
 	}
 	entry.manager = manager.New(manager.Options{
 		Self:      entry.id,
+		Region:    entry.settings.Region,
 		Shards:    managed,
 		Ownership: entry.holder,
 		View:      view{entry: entry},
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -77,6 +77,7 @@
 	entry.forwarder.SetPeers(members, peers)
 	entry.shards.limiter.SetLimit(rate.Limit(float64(entry.settings.Limits.StoreWrites) / float64(len(live))))
 	entry.updateReady(len(live))
+	entry.observe()
 }
 
 // updateReady makes the instance ready once it knows the configuration in force: from the store, or
@@ -208,3 +209,30 @@
 		logger.Log(ctx, entry.log, logger.EventDrainTimedOut, logger.Error(err))
 	}
 }
+
+// observe publishes the byte counts of calls to peers.
+func (entry *Entry) observe() {
+	for flow, traffic := range entry.messenger.Traffic() {
+		scope := entry.meter.Scope.Tagged(map[string]string{
+			"From":   entry.settings.Region,
+			"To":     flow.Region,
+			"Method": flow.Method,
+		})
+		scope.Gauge("PeerBytesSent").Update(float64(traffic.Sent()))
+		scope.Gauge("PeerBytesReceived").Update(float64(traffic.Received()))
+	}
+	store := entry.store.Counts()
+	for kind, count := range map[string]uint64{
+		"Get":    store.Get,
+		"Put":    store.Put,
+		"Delete": store.Delete,
+		"Watch":  store.Watch,
+		"Grant":  store.Grant,
+		"Renew":  store.Renew,
+		"Revoke": store.Revoke,
+	} {
+		entry.meter.Scope.Tagged(map[string]string{
+			"Kind": kind,
+		}).Gauge("StoreCalls").Update(float64(count))
+	}
+}
--- a/internal/member/messenger/messenger.go
+++ b/internal/member/messenger/messenger.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,10 +52,17 @@
 
 	mutex       sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
-	traffic     map[string]*Traffic
+	traffic     map[Flow]*Traffic
 }
 
-// Traffic counts bytes on the wire with the instances of one region, without TCP and HTTP/2 overhead.
+// Flow is one kind of call to the instances of one region.
+type Flow struct {
+	Region string
+	// Method is the short name of the call, such as Exchange.
+	Method string
+}
+
+// Traffic counts the bytes of messages in both directions, without the overhead of TCP and HTTP/2 frames.
 type Traffic struct {
 	sent     atomic.Uint64
 	received atomic.Uint64
@@ -79,7 +88,7 @@
 		options:     options,
 		listener:    listener,
 		connections: map[netip.AddrPort]*grpc.ClientConn{},
-		traffic:     map[string]*Traffic{},
+		traffic:     map[Flow]*Traffic{},
 	}
 	serverOptions := append([]grpc.ServerOption{grpc.MaxRecvMsgSize(MaxMessage)}, options.ServerOptions...)
 	messenger.server = grpc.NewServer(serverOptions...)
@@ -142,7 +151,8 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
 		grpc.WithStatsHandler(&counter{
-			traffic: messenger.trafficLocked(region),
+			messenger: messenger,
+			region:    region,
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -160,24 +170,22 @@
 	return append(dialOptions, messenger.options.DialOptions...)
 }
 
-func (messenger *Messenger) trafficLocked(region string) *Traffic {
-	traffic, ok := messenger.traffic[region]
+func (messenger *Messenger) flow(flow Flow) *Traffic {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	traffic, ok := messenger.traffic[flow]
 	if !ok {
 		traffic = &Traffic{}
-		messenger.traffic[region] = traffic
+		messenger.traffic[flow] = traffic
 	}
 	return traffic
 }
 
-// Traffic returns the counts by the peers' region for calls that this instance began.
-func (messenger *Messenger) Traffic() map[string]*Traffic {
+// Traffic returns the counts of the calls that this instance began.
+func (messenger *Messenger) Traffic() map[Flow]*Traffic {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
-	copied := make(map[string]*Traffic, len(messenger.traffic))
-	for region, traffic := range messenger.traffic {
-		copied[region] = traffic
-	}
-	return copied
+	return maps.Clone(messenger.traffic)
 }
 
 // NotSent reports whether a call failed because no connection could be made, so that it had no effect.
@@ -197,25 +205,35 @@
 	}
 }
 
-// counter adds up the wire lengths of messages.
+// counter adds up the wire lengths of the calls to one region.
 type counter struct {
-	traffic *Traffic
+	messenger *Messenger
+	region    string
 }
 
+type trafficKey struct{}
+
 // TagRPC implements stats.Handler.
-func (counter *counter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
-	return ctx
+func (counter *counter) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	return context.WithValue(ctx, trafficKey{}, counter.messenger.flow(Flow{
+		Region: counter.region,
+		Method: path.Base(info.FullMethodName),
+	}))
 }
 
 // HandleRPC implements stats.Handler.
-func (counter *counter) HandleRPC(_ context.Context, event stats.RPCStats) {
+func (counter *counter) HandleRPC(ctx context.Context, event stats.RPCStats) {
+	traffic, ok := ctx.Value(trafficKey{}).(*Traffic)
+	if !ok {
+		return
+	}
 	switch event := event.(type) {
 	case *stats.InPayload:
-		counter.traffic.received.Add(uint64(event.WireLength))
+		traffic.received.Add(uint64(event.WireLength))
 	case *stats.OutPayload:
-		counter.traffic.sent.Add(uint64(event.WireLength))
+		traffic.sent.Add(uint64(event.WireLength))
 	case *stats.InHeader:
-		counter.traffic.received.Add(uint64(event.WireLength))
+		traffic.received.Add(uint64(event.WireLength))
 	}
 }
 
--- a/internal/shard/manager/manager.go
+++ b/internal/shard/manager/manager.go
@@ -21,6 +21,9 @@
 	// candidates try to take it. The first candidate tries at once: the store refuses while the
 	// previous owner's lease lives.
 	DefaultOrphanAfter = 2 * time.Second
+	// DefaultForeignAfter is how long a shard of another region has to be without a claim before it is
+	// taken: its messages to workers would cross regions, and what is heard of that region may be late.
+	DefaultForeignAfter = 10 * time.Second
 	// refusedPause is the time between attempts on a shard that the store says is owned.
 	refusedPause = time.Second
 	// surplus is the difference in owned shards at which one is given away. A difference of one
@@ -58,15 +61,17 @@
 
 // Options configures a Manager. All fields but the durations have to be set.
 type Options struct {
-	// Self is the instance's ID.
+	// Self is the instance's ID, and Region its region.
 	Self      string
+	Region    string
 	Shards    []Shard
 	Ownership Ownership
 	View      View
 	// Start takes over a shard whose owner key was acquired.
-	Start       func(ctx context.Context, shard descriptor.ShardID) (Running, error)
-	Interval    time.Duration
-	OrphanAfter time.Duration
+	Start        func(ctx context.Context, shard descriptor.ShardID) (Running, error)
+	Interval     time.Duration
+	OrphanAfter  time.Duration
+	ForeignAfter time.Duration
 }
 
 // Manager owns shards.
@@ -89,6 +94,9 @@
 	if options.OrphanAfter == 0 {
 		options.OrphanAfter = DefaultOrphanAfter
 	}
+	if options.ForeignAfter == 0 {
+		options.ForeignAfter = DefaultForeignAfter
+	}
 	return &Manager{
 		options:  options,
 		running:  map[descriptor.ShardID]Running{},
@@ -107,7 +115,7 @@
 			manager.Drain(context.WithoutCancel(ctx))
 			return ctx.Err()
 		case <-ticker.C:
-			manager.step(ctx, time.Now())
+			manager.Step(ctx, time.Now())
 		}
 	}
 }
@@ -131,7 +139,8 @@
 	return owned
 }
 
-func (manager *Manager) step(ctx context.Context, now time.Time) {
+// Step takes and gives away what is due now. Serve calls it at the interval.
+func (manager *Manager) Step(ctx context.Context, now time.Time) {
 	for _, shard := range manager.options.Shards {
 		running, ok := manager.Running(shard.ID)
 		if !ok {
@@ -146,7 +155,7 @@
 		default:
 		}
 	}
-	manager.balance(ctx)
+	manager.balance(ctx, now)
 }
 
 // consider takes a shard that nobody claims, if this instance is the candidate to do so.
@@ -164,7 +173,11 @@
 		manager.orphaned[shard.ID] = now
 	}
 	rank := rankOf(manager.options.Self, manager.options.View.Candidates(shard.ID, shard.Region))
-	if rank < 0 || now.Sub(since) < time.Duration(rank)*manager.options.OrphanAfter {
+	patience := time.Duration(rank) * manager.options.OrphanAfter
+	if shard.Region != manager.options.Region {
+		patience += manager.options.ForeignAfter
+	}
+	if rank < 0 || now.Sub(since) < patience {
 		return
 	}
 	manager.take(ctx, now, shard.ID)
@@ -209,26 +222,33 @@
 	}
 }
 
-// balance gives one shard away when another candidate in its region owns at least surplus fewer.
-func (manager *Manager) balance(ctx context.Context) {
+// balance gives one shard away: one of another region when a candidate there is live, or one that a
+// candidate in the region with at least surplus fewer shards can take.
+func (manager *Manager) balance(ctx context.Context, now time.Time) {
 	owned := manager.Owned()
-	if len(owned) < surplus {
-		return
-	}
 	for _, shard := range manager.options.Shards {
 		running, ok := owned[shard.ID]
-		if !ok {
+		if !ok || !manager.betterOwner(shard, len(owned)) {
+			continue
+		}
+		manager.handOver(ctx, shard.ID, running)
+		// The candidate takes the shard at once only if it ranks first; the pause leaves it the time.
+		manager.retryAt[shard.ID] = now.Add(2 * manager.options.OrphanAfter)
+		return
+	}
+}
+
+func (manager *Manager) betterOwner(shard Shard, owned int) bool {
+	foreign := shard.Region != manager.options.Region
+	for _, candidate := range manager.options.View.Candidates(shard.ID, shard.Region) {
+		if candidate.GetRegion() != shard.Region || candidate.GetId() == manager.options.Self {
 			continue
 		}
-		for _, candidate := range manager.options.View.Candidates(shard.ID, shard.Region) {
-			if candidate.GetRegion() == shard.Region && len(candidate.GetShards())+surplus <= len(owned) {
-				manager.handOver(ctx, shard.ID, running)
-				// The candidate takes the shard at once only if it ranks first; the pause leaves it the time.
-				manager.retryAt[shard.ID] = time.Now().Add(2 * manager.options.OrphanAfter)
-				return
-			}
+		if foreign || len(candidate.GetShards())+surplus <= owned {
+			return true
 		}
 	}
+	return false
 }
 
 func (manager *Manager) handOver(ctx context.Context, shard descriptor.ShardID, running Running) {
