--- a/internal/placement/placer/placer_test.go
+++ b/internal/placement/placer/placer_test.go
@@ -149,6 +149,51 @@
 	}
 }
 
+// reserve takes capacity of any worker, whether a placement named it or not.
+func (model *model) reserve(t *rapid.T) {
+	id := descriptor.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 7).Draw(t, "worker")))
+	model.next++
+	reservation := placer.Reservation{
+		Run:  descriptor.RunID{Task: model.next},
+		Need: drawNeed(t),
+	}
+	_, known := model.workers[id]
+	fits := known && reservation.Need.Fits(model.free(id))
+	if err := model.placer.Reserve(id, reservation); (err == nil) != fits {
+		t.Fatalf("reserve %v with %v free: %v", reservation.Need, model.free(id), err)
+	}
+	if fits {
+		model.runs[reservation.Run] = id
+		model.needs[reservation.Run] = reservation
+		if err := model.placer.Reserve(id, reservation); !errors.Is(err, placer.ErrReserved) {
+			t.Fatalf("a run is reserved twice: %v", err)
+		}
+	}
+}
+
+// forecast checks that the held workers have room for the gang once the runs that end by then are gone.
+func (model *model) forecast(t *rapid.T) {
+	request, _ := drawRequest(t)
+	tasks, room := rapid.IntRange(1, 3).Draw(t, "tasks"), 0
+	hold, ok := model.placer.Forecast(request, tasks, epoch.Add(2))
+	model.hold = hold
+	for _, id := range hold.Workers {
+		free := model.free(id)
+		for run, reservation := range model.needs {
+			if model.runs[run] == id && !reservation.End.IsZero() && !reservation.End.After(hold.Start) {
+				free = free.Add(reservation.Need)
+			}
+		}
+		for room < tasks && !free.Negative() && request.Need.Fits(free) {
+			free = free.Sub(request.Need)
+			room++
+		}
+	}
+	if ok && (room < tasks || hold.Start.Before(epoch.Add(2))) {
+		t.Fatalf("forecast %v has room for %d of %d tasks", hold, room, tasks)
+	}
+}
+
 func (model *model) drawRun(t *rapid.T) descriptor.RunID {
 	if len(model.runs) == 0 {
 		t.Skip("no run")
@@ -221,6 +266,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"SetWorker": model.setWorker,
 			"Place":     model.placeGang,
+			"Reserve":   model.reserve,
 			"Release":   model.release,
 			"Change":    model.change,
 			"Probe":     model.probe,
@@ -233,8 +279,7 @@
 				delete(model.workers, id)
 			},
 			"Hold": func(t *rapid.T) {
-				request, _ := drawRequest(t)
-				model.hold, _ = model.placer.Forecast(request, rapid.IntRange(1, 3).Draw(t, "tasks"), epoch)
+				model.forecast(t)
 				model.placer.SetHold(model.hold)
 			},
 			"": func(t *rapid.T) {
