request/forwarder: refuse forwarded requests without a free slot

A peer whose report was out of date queued what was forwarded to it, although the sender may serve it earlier. It is now refused as not run, and the sender queues it.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -34,6 +34,8 @@
 	urgency    descriptor.Urgency
 	attempts   int
 	mayForward bool
+	// onlyFree refuses the call unless a slot is free, as its own instance has a queue for it.
+	onlyFree bool
 
 	service *service
 	tries   retrier.Request
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -280,8 +280,8 @@
 	})
 }
 
-// ServeForward runs a request that a peer forwarded. It makes a single attempt and does not
-// forward again; the peer decides about retries.
+// ServeForward runs a request that a peer forwarded, if a slot is free. It makes a single attempt
+// and does not forward again; the peer decides about retries.
 func (forwarder *Forwarder) ServeForward(ctx context.Context, request *peerpb.ForwardRequest) *peerpb.ForwardReply {
 	lane := parser.LaneShort
 	if request.GetLane() == string(parser.LaneLong) {
@@ -299,6 +299,7 @@
 		lane:     lane,
 		urgency:  descriptor.Urgency(request.GetUrgency()),
 		attempts: 1,
+		onlyFree: true,
 	})
 	return &peerpb.ForwardReply{
 		Fate:    descriptor.Record(result.Fate).Fate,
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -479,3 +479,32 @@
 		}
 	})
 }
+
+// Guards against forwarded requests that wait at a peer whose report was out of date, while their
+// own instance would serve them earlier.
+func TestForwardedDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		forwarder := newForwarder(t, newUpstream(t, 1, false))
+		forwarder.SetInstances(runners(1))
+		request := &peerpb.ForwardRequest{
+			Id:                 "x.1",
+			Service:            "desk",
+			Caller:             "kiosk",
+			DeadlineUnixMillis: time.Now().Add(time.Second).UnixMilli(),
+		}
+		// A new runner has one slot in use until it has answered.
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			if reply := forwarder.ServeForward(t.Context(), request); reply.GetFate() != "Done" || reply.GetId() != "x.1" {
+				t.Errorf("first request got %v", reply)
+			}
+		})
+		synctest.Wait()
+		started := time.Now()
+		reply := forwarder.ServeForward(t.Context(), request)
+		if reply.GetFate() != "NotRun" || !time.Now().Equal(started) {
+			t.Errorf("second request got %v after %v", reply, time.Since(started))
+		}
+		wait.Wait()
+	})
+}
--- a/internal/request/forwarder/service.go
+++ b/internal/request/forwarder/service.go
@@ -190,6 +190,10 @@
 	defer service.forwarder.mu.Unlock()
 	slots := queuer.Slots{}
 	slots.Usable, slots.Free = service.router.Slots(now, item.Lane)
+	if call.onlyFree && slots.Free <= service.queuer.Len(item.Lane) {
+		service.metrics.refused(queuer.ReasonNoSlots)
+		return nil, "", descriptor.NewProblem(descriptor.CodeOverloaded, queuer.MinRetryAfter, "peer has no free slot")
+	}
 	if call.mayForward {
 		if peer, ok := service.peers.Choose(now, service.demand(now, item, slots)); ok {
 			return nil, peer, nil
--- a/internal/request/queuer/model_test.go
+++ b/internal/request/queuer/model_test.go
@@ -19,10 +19,10 @@
 const (
 	modelSeed   = 7
 	meanService = 20 * time.Millisecond
-	// memberRunners have about as many slots as one entry instance owns, regionRunners those of a
-	// region.
+	// memberRunners have about as many slots as one entry instance owns, and regionMembers are the
+	// entry instances of a region.
 	memberRunners = 6
-	regionRunners = 17
+	regionMembers = 3
 	memberSlots   = memberRunners * router.SlotsPerRunner
 )
 
@@ -46,11 +46,11 @@
 
 // requests draws arrivals. Demand is relative to what the slots can do. Shape may change the
 // request.
-func requests(runners int, length time.Duration, demand func(time.Duration) float64, shape func(*rand.Rand, *request)) []*request {
+func requests(members int, length time.Duration, demand func(time.Duration) float64, shape func(*rand.Rand, *request)) []*request {
 	random := rand.New(rand.NewPCG(modelSeed, modelSeed))
 	var all []*request
 	for at := time.Duration(0); ; {
-		rate := demand(at) * float64(runners*router.SlotsPerRunner) / float64(meanService)
+		rate := demand(at) * float64(members*memberSlots) / float64(meanService)
 		at += time.Duration(random.ExpFloat64() / rate)
 		if at > length {
 			return all
@@ -147,6 +147,97 @@
 	fifo.free++
 }
 
+// region is the entry instances of one region. The balancer deals requests out in turn.
+type region struct {
+	members []model
+	// place is the member that has a request.
+	place map[int]int
+	// peers of each system, with reports of each second, or none.
+	peers    []router.Peers
+	reported time.Time
+}
+
+func newRegion(forward bool, member func() model) *region {
+	region := &region{
+		place: map[int]int{},
+	}
+	for range regionMembers {
+		region.members = append(region.members, member())
+	}
+	if forward {
+		region.peers = make([]router.Peers, regionMembers)
+	}
+	return region
+}
+
+func (region *region) report(now time.Time) {
+	region.reported = now
+	for i := range region.peers {
+		var reports []router.Peer
+		for j, member := range region.members {
+			system := member.(*system)
+			if _, free := system.router.Slots(now, parser.LaneShort); i != j && system.queuer.Len(parser.LaneShort) == 0 {
+				reports = append(reports, router.Peer{
+					ID:   strconv.Itoa(j),
+					Free: free,
+				})
+			}
+		}
+		region.peers[i].Set(reports)
+	}
+}
+
+func (region *region) offer(now time.Time, id int, request *request) {
+	if now.Sub(region.reported) >= time.Second {
+		region.report(now)
+	}
+	home := id % regionMembers
+	region.place[id] = home
+	if region.peers != nil {
+		region.forward(now, id, home, request)
+	}
+	region.members[region.place[id]].offer(now, id, request)
+}
+
+// forward moves a request to a peer if it has a free slot; the round trip counts as a wait.
+func (region *region) forward(now time.Time, id, home int, request *request) {
+	own, slots := region.members[home].(*system), queuer.Slots{}
+	slots.Usable, slots.Free = own.router.Slots(now, request.item.Lane)
+	demand := router.Demand{
+		ID:       request.item.ID,
+		Deadline: request.item.Deadline,
+	}
+	demand.Wait, demand.Service = own.queuer.Predict(now, request.item, slots)
+	chosen, ok := region.peers[home].Choose(now, demand)
+	if !ok {
+		return
+	}
+	request.at = request.at.Add(-router.RegionRoundTrip)
+	peer, _ := strconv.Atoi(chosen)
+	if _, free := region.members[peer].(*system).router.Slots(now, request.item.Lane); free > 0 {
+		region.place[id] = peer
+		return
+	}
+	region.peers[home].Return(chosen, true)
+}
+
+func (region *region) next(now time.Time) (int, bool) {
+	for _, member := range region.members {
+		if id, ok := member.next(now); ok {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func (region *region) done(now time.Time, id int, request *request) {
+	home, place := id%regionMembers, region.place[id]
+	if home != place {
+		region.peers[home].Return(strconv.Itoa(place), false)
+	}
+	region.members[place].done(now, id, request)
+}
+
 type ending struct {
 	at time.Time
 	id int
@@ -185,10 +276,15 @@
 }
 
 // each runs the system and the baseline on fresh copies of the same requests.
-func each(b *testing.B, runners int, draw func() []*request, report func(*testing.B, []*request)) {
+func each(b *testing.B, members int, draw func() []*request, report func(*testing.B, []*request)) {
 	models := map[string]func() model{
-		"system": func() model { return newSystem(runners) },
-		"fifo":   func() model { return &fifo{free: runners * router.SlotsPerRunner} },
+		"system": func() model { return newSystem(memberRunners) },
+		"fifo":   func() model { return &fifo{free: memberSlots} },
+	}
+	if members > 1 {
+		system, fifo := models["system"], models["fifo"]
+		models["system"] = func() model { return newRegion(true, system) }
+		models["fifo"] = func() model { return newRegion(false, fifo) }
 	}
 	for _, name := range []string{"system", "fifo"} {
 		b.Run(name, func(b *testing.B) {
@@ -218,8 +314,8 @@
 	from, to := epoch.Add(rise+time.Second/6), epoch.Add(length)
 	for _, deadline := range []time.Duration{5 * meanService, 10 * meanService, 50 * meanService} {
 		b.Run(fmt.Sprint("deadline=", deadline), func(b *testing.B) {
-			each(b, memberRunners, func() []*request {
-				return requests(memberRunners, length, func(at time.Duration) float64 {
+			each(b, 1, func() []*request {
+				return requests(1, length, func(at time.Duration) float64 {
 					return 0.6 + 2.4*min(max((at-rise).Seconds(), 0), 1)
 				}, func(_ *rand.Rand, request *request) {
 					request.item.Deadline = request.at.Add(deadline)
@@ -252,19 +348,19 @@
 
 // BenchmarkStragglers loads the slots to 85 % with 5 % of the requests 20 times as long.
 func BenchmarkStragglers(b *testing.B) {
-	for _, runners := range []int{memberRunners, regionRunners} {
+	for _, members := range []int{1, regionMembers} {
 		for _, lengths := range []string{"exponential", "constant"} {
-			b.Run(fmt.Sprintf("runners=%d/lengths=%s", runners, lengths), func(b *testing.B) {
-				each(b, runners, func() []*request {
-					return stragglers(runners, lengths == "constant")
+			b.Run(fmt.Sprintf("members=%d/lengths=%s", members, lengths), func(b *testing.B) {
+				each(b, members, func() []*request {
+					return stragglers(members, lengths == "constant")
 				}, reportWaits)
 			})
 		}
 	}
 }
 
-func stragglers(runners int, constant bool) []*request {
-	return requests(runners, 60*time.Second, func(time.Duration) float64 {
+func stragglers(members int, constant bool) []*request {
+	return requests(members, 60*time.Second, func(time.Duration) float64 {
 		return 0.85 / (0.95 + 0.05*20)
 	}, func(random *rand.Rand, request *request) {
 		if constant {
@@ -294,8 +390,8 @@
 // BenchmarkFairness has a normal caller that asks for a fifth of the slots and a greedy one that
 // asks for three times all of them.
 func BenchmarkFairness(b *testing.B) {
-	each(b, memberRunners, func() []*request {
-		return requests(memberRunners, 10*time.Second, func(time.Duration) float64 {
+	each(b, 1, func() []*request {
+		return requests(1, 10*time.Second, func(time.Duration) float64 {
 			return 3.2
 		}, func(random *rand.Rand, request *request) {
 			request.item.Caller = "greedy"
