--- a/internal/local/reporter/examiner.go
+++ b/internal/local/reporter/examiner.go
@@ -129,8 +129,10 @@
 	if job.SecondID != "" && job.ID != "" && job.SecondID != job.ID {
 		examiner.report.KeyDiffers++
 	}
-	if job.Refusal != "" {
-		line.Codes[job.Refusal]++
+	for _, code := range []descriptor.Code{job.Refusal, job.SecondRefusal} {
+		if code != "" {
+			line.Codes[code]++
+		}
 	}
 	class := examiner.classOfJob(job)
 	examiner.classify(line, class)
--- a/internal/local/submitter/jobs.go
+++ b/internal/local/submitter/jobs.go
@@ -88,6 +88,13 @@
 	if job.plan.Twice && !together {
 		submitter.submitAgain(ctx, job)
 	}
+	submitter.mutex.Lock()
+	defer submitter.mutex.Unlock()
+	if !job.seen.Accepted && job.seen.SecondID != "" {
+		// The caller knows now that the job was accepted, whatever the first answer was.
+		job.seen.ID = job.seen.SecondID
+		submitter.accept(job)
+	}
 }
 
 func (submitter *Submitter) submitFirst(ctx context.Context, job *job) {
@@ -96,9 +103,13 @@
 	submitter.mutex.Lock()
 	defer submitter.mutex.Unlock()
 	job.seen.Sent, job.seen.ID, job.seen.Refusal = sent, id, code
-	if id == "" {
-		return
+	if id != "" {
+		submitter.accept(job)
 	}
+}
+
+// accept notes the acknowledgement of a job. The caller holds the mutex.
+func (submitter *Submitter) accept(job *job) {
 	submitter.counts.accepted.Add(1)
 	job.seen.Accepted, job.seen.Acknowledged = true, time.Now()
 	job.interval = firstPoll
