--- a/internal/placement/placer/choose.go
+++ b/internal/placement/placer/choose.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/placement/indexer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -69,8 +70,9 @@
 }
 
 const (
-	// candidatesPerOrder bounds the workers compared per bucket and order.
-	candidatesPerOrder = 8
+	// maxCandidates bounds the workers compared in each bucket. Fewer pack workers of several shapes
+	// less densely.
+	maxCandidates = 16
 	// spreadCandidates bounds the equally loaded workers compared when spreading.
 	spreadCandidates = 4
 )
@@ -104,11 +106,11 @@
 		placed = append(placed, worker.ID)
 		placer.init()
 		placer.count(request.Job, worker, 1)
-		placer.take(worker, request.Need)
+		take(worker, request.Need)
 	}
 	for _, worker := range slices.Backward(chosen) {
 		placer.count(request.Job, worker, -1)
-		placer.take(worker, descriptor.Resources{}.Sub(request.Need))
+		take(worker, descriptor.Resources{}.Sub(request.Need))
 	}
 	if len(placed) < n {
 		return nil, placer.refuse(&request, n, len(placed))
@@ -121,7 +123,7 @@
 	if request.Need.Negative() {
 		return nil
 	}
-	groups := placer.matching(request.Where)
+	groups := placer.index.Matching(request.Where)
 	if request.TrialAllowed {
 		if worker := placer.chooseTrial(request); worker != nil {
 			return worker
@@ -147,7 +149,7 @@
 func (placer *Placer) chooseTrial(request *Request) *entry {
 	for _, worker := range placer.trials {
 		if worker.trialRuns == 0 && request.Need.Fits(worker.free) && !slices.Contains(request.Avoid, worker.ID) &&
-			request.Where.matches(worker.class.labels) {
+			request.Where.Matches(worker.item.Labels()) {
 			return worker
 		}
 	}
@@ -156,55 +158,47 @@
 
 // bestFit searches workers without accelerators before the others, and those with the fewest free
 // accelerators first, so that accelerators stay free for the work that needs them.
-func (placer *Placer) bestFit(request *Request, groups []*class, held bool) *entry {
-	var best, avoided *entry
-	bestScore := 0.0
-	accelerated := false
-	for _, group := range groups {
-		if group.accelerated && !accelerated {
-			accelerated = true
-			if best != nil {
-				return best
-			}
-		}
-		buckets := group.open
-		if held {
-			buckets = group.held
-		}
-		for i := request.Need.Accelerators; i < int64(len(buckets)); i++ {
-			found := false
-			buckets[i].candidates(request, func(worker *entry) {
-				if len(request.Avoid) > 0 && slices.Contains(request.Avoid, worker.ID) {
-					avoided = worker
-					return
-				}
-				found = true
-				if score := placer.score(request, worker); best == nil || score < bestScore {
-					best, bestScore = worker, score
-				}
-			})
-			if found {
-				break
-			}
+func (placer *Placer) bestFit(request *Request, groups []*indexer.Class[*entry], held bool) *entry {
+	search := search{
+		placer:  placer,
+		request: request,
+	}
+	for i, group := range groups {
+		if search.best != nil && group.Accelerated && !groups[i-1].Accelerated {
+			break
 		}
+		search.left = maxCandidates
+		group.Visit(held, request.Need, search.compare)
 	}
-	if best == nil {
-		return avoided
+	if search.best == nil {
+		return search.avoided
 	}
-	return best
+	return search.best
+}
+
+// search is the state of a search for the best fit.
+type search struct {
+	placer  *Placer
+	request *Request
+	best    *entry
+	score   float64
+	// avoided is a worker that fits but that the request avoids.
+	avoided *entry
+	// left counts the workers that may still be compared in a class.
+	left int
 }
 
-// candidates calls compare for the workers with the least fitting amounts of either resource.
-func (bucket *bucket) candidates(request *Request, compare func(*entry)) {
-	left := candidatesPerOrder + len(request.Avoid)
-	accept := func(worker *entry) bool {
-		compare(worker)
-		left--
-		return left > 0
+func (search *search) compare(worker *entry) (found, more bool) {
+	if len(search.request.Avoid) > 0 && slices.Contains(search.request.Avoid, worker.ID) {
+		search.avoided = worker
+		return false, true
+	}
+	score := search.placer.score(search.request, worker)
+	if search.best == nil || score < search.score {
+		search.best, search.score = worker, score
 	}
-	bucket.byMilliCPU.root.visit(request.Need.MilliCPU, request.Need.MemoryBytes, accept)
-	left = candidatesPerOrder + len(request.Avoid)
-	bucket.byMemory.root.visit(request.Need.MemoryBytes, request.Need.MilliCPU, accept)
+	search.left--
+	return true, search.left > 0
 }
 
 // score is lower for a better fit. Among the fullest workers, the one is best on which the task leaves
@@ -212,18 +206,24 @@
 // what is left is then of use to other work.
 func (placer *Placer) score(request *Request, worker *entry) float64 {
 	left := worker.free.Sub(request.Need)
-	return float64(left.Accelerators) + placer.imbalance(left) - placer.imbalance(worker.free)
+	return float64(left.Accelerators) + math.Abs(placer.balance.of(left)) - math.Abs(placer.balance.of(worker.free))
 }
 
-func (placer *Placer) imbalance(amount descriptor.Resources) float64 {
-	return math.Abs(fraction(amount.MilliCPU, placer.capacity.MilliCPU) - fraction(amount.MemoryBytes, placer.capacity.MemoryBytes))
+// balance weighs processors against memory by the amounts that the shard has.
+type balance struct {
+	perMilliCPU, perByte float64
 }
 
-func fraction(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
+func newBalance(capacity descriptor.Resources) balance {
+	return balance{
+		perMilliCPU: 1 / float64(max(capacity.MilliCPU, 1)),
+		perByte:     1 / float64(max(capacity.MemoryBytes, 1)),
 	}
-	return float64(part) / float64(whole)
+}
+
+// of is positive if there is more processor time than memory in proportion.
+func (balance balance) of(amount descriptor.Resources) float64 {
+	return float64(amount.MilliCPU)*balance.perMilliCPU - float64(amount.MemoryBytes)*balance.perByte
 }
 
 // spread returns the worker on the rack, or the worker itself, with the fewest runs of the job.
@@ -239,8 +239,8 @@
 	for i := range placer.racks {
 		shelf := placer.racks[(i+counts.total)%len(placer.racks)]
 		for _, worker := range shelf.workers {
-			if worker.bucket == nil || worker.held && !mayUseHeld || !request.Need.Fits(worker.free) ||
-				!request.Where.matches(worker.class.labels) || slices.Contains(request.Avoid, worker.ID) {
+			if !worker.item.IsOpen() || worker.held && !mayUseHeld || !request.Need.Fits(worker.free) ||
+				!request.Where.Matches(worker.item.Labels()) || slices.Contains(request.Avoid, worker.ID) {
 				continue
 			}
 			count := counts.of(request.Spread, worker)
@@ -274,9 +274,10 @@
 func (placer *Placer) room(request *Request, n int) int {
 	mayUseHeld := placer.mayUseHeld(request)
 	room := 0
-	for _, group := range placer.matching(request.Where) {
-		for _, worker := range group.workers {
-			if worker.bucket == nil || worker.held && !mayUseHeld {
+	for _, group := range placer.index.Matching(request.Where) {
+		for _, item := range group.Items {
+			worker := item.Value
+			if !worker.item.IsOpen() || worker.held && !mayUseHeld {
 				continue
 			}
 			room += int(times(request.Need, worker.free, int64(n)))
@@ -313,16 +314,16 @@
 		Room:    room,
 	}
 	var possible int64
-	for _, group := range placer.matching(request.Where) {
-		refusal.Matching += len(group.workers)
-		for capacity, count := range group.capacities {
+	for _, group := range placer.index.Matching(request.Where) {
+		refusal.Matching += len(group.Items)
+		for capacity, count := range group.Capacities {
 			if fitting := times(request.Need, capacity, int64(n)); fitting > 0 {
 				refusal.LargeEnough += count
 				possible += fitting * int64(count)
 			}
 		}
-		refusal.Leaving += group.states[Leaving]
-		refusal.Quarantined += group.states[Quarantined]
+		refusal.Leaving += group.Tags[Leaving]
+		refusal.Quarantined += group.Tags[Quarantined]
 	}
 	refusal.Held = len(placer.hold.Workers)
 	switch {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
@@ -33,6 +34,8 @@
 	peak     int
 	old      []requester.Response
 	leaving  map[netip.AddrPort]bool
+	// busy counts the requests that are refused from now on.
+	busy int
 }
 
 func newUpstream(t *testing.T, seed uint64, faults bool) *upstream {
@@ -99,6 +102,10 @@
 	if upstream.leaving[runner] {
 		return 0, 0, requester.ErrLeaving
 	}
+	if upstream.busy > 0 {
+		upstream.busy--
+		return 0, 0, requester.ErrBusy
+	}
 	if upstream.inFlight[runner] >= router.SlotsPerRunner || fault == 5 {
 		return 0, 0, requester.ErrBusy
 	}
@@ -139,6 +146,16 @@
 	return list
 }
 
+func newForwarder(t *testing.T, upstream *upstream) *Forwarder {
+	forwarder, stop := New(Options{
+		Self:      "a",
+		Region:    "kigali",
+		Requester: upstream,
+	})
+	t.Cleanup(stop)
+	return forwarder
+}
+
 // pair is two entry instances of one region that forward to each other.
 type pair struct {
 	forwarders map[string]*Forwarder
@@ -195,6 +212,7 @@
 	}
 	if total%13 == 0 {
 		reply.Id = "another request"
+		reply.Body = []byte("answer to another request")
 	}
 	return reply, nil
 }
@@ -211,7 +229,8 @@
 			var wait sync.WaitGroup
 			random := rand.New(rand.NewPCG(seed, 1))
 			for i := range 1500 {
-				<-time.After(time.Duration(random.IntN(1500)) * time.Microsecond)
+				// All times are whole milliseconds, so that ends of waits and grants cross.
+				<-time.After(time.Duration(random.IntN(3)) * time.Millisecond)
 				if i%25 == 0 {
 					pair.exchange()
 				}
@@ -310,12 +329,7 @@
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
-		forwarder, stop := New(Options{
-			Self:      "a",
-			Region:    "kigali",
-			Requester: upstream,
-		})
-		defer stop()
+		forwarder := newForwarder(t, upstream)
 		forwarder.SetInstances(runners(1))
 		request := Request{
 			Service: "desk",
@@ -360,12 +374,7 @@
 func TestRunners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
-		forwarder, stop := New(Options{
-			Self:      "a",
-			Region:    "kigali",
-			Requester: upstream,
-		})
-		defer stop()
+		forwarder := newForwarder(t, upstream)
 		compiled, err := parser.Compile(1, parser.Config{
 			Policies: []parser.Policy{
 				{
@@ -403,9 +412,70 @@
 		if upstream.peak != router.SlotsPerRunner/2 {
 			t.Errorf("long work held %d slots of a runner", upstream.peak)
 		}
-		// One attempt that the second runner refused, and none at the first.
+		if _, used := upstream.inFlight[address(1)]; used {
+			t.Error("work was sent to a runner that is listed as leaving")
+		}
+		// One attempt that the second runner refused.
 		if attempts := len(upstream.ids); attempts != 101 {
 			t.Errorf("%d attempts for 100 requests", attempts)
 		}
 	})
 }
+
+// Guards against requests that wait on after a runner's pause has ended, when no other request
+// ends to wake them.
+func TestPauseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := newUpstream(t, 1, false)
+		upstream.busy = 2
+		forwarder := newForwarder(t, upstream)
+		forwarder.SetInstances(runners(1))
+		result := forwarder.Do(t.Context(), Request{
+			Service:  "desk",
+			Caller:   "kiosk",
+			Deadline: time.Now().Add(time.Second),
+		})
+		if result.Problem != nil {
+			t.Fatal(result.Problem)
+		}
+	})
+}
+
+// instant answers at once.
+type instant struct{}
+
+func (instant) Send(_ context.Context, _ netip.AddrPort, request requester.Request) (requester.Response, error) {
+	return requester.Response{
+		ID:     request.ID,
+		Status: 200,
+	}, nil
+}
+
+// BenchmarkDo measures what the entry instance itself adds to a request, with 50 runners and as
+// many callers as processors.
+func BenchmarkDo(b *testing.B) {
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Reporter: tally.NullStatsReporter,
+	}, time.Second)
+	defer closer.Close()
+	forwarder, stop := New(Options{
+		Self:      "a",
+		Region:    "kigali",
+		Requester: instant{},
+		Scope:     scope,
+	})
+	defer stop()
+	forwarder.SetInstances(runners(50))
+	request := Request{
+		Service: "desk",
+		Caller:  "kiosk",
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if result := forwarder.Do(context.Background(), request); result.Problem != nil {
+				b.Error(result.Problem)
+			}
+		}
+	})
+}
