ranker: distribute jobs over shards in proportion to their room

Counting only the own choices did not help: with 8 instances all 60 jobs of the test's wave still went to the emptiest shard. Change: package ranker draws the order of shards weighted by free capacity, less waiting work and own recent choices; other regions count half.

--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"pomelomoor/internal/entry/adapter"
 	"pomelomoor/internal/entry/dispatcher"
 	"pomelomoor/internal/entry/handler"
+	"pomelomoor/internal/entry/ranker"
 	"pomelomoor/internal/entry/responder"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/holder"
@@ -269,6 +271,10 @@
 	entry.shards = &shards{
 		entry:   entry,
 		limiter: rate.NewLimiter(rate.Limit(entry.settings.Limits.StoreWrites), 1),
+		ranker: ranker.Ranker{
+			Region: entry.settings.Region,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
 	}
 	list := entry.shardList()
 	managed := make([]manager.Shard, 0, len(list))
--- a/internal/entry/assembler/shards.go
+++ b/internal/entry/assembler/shards.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/dispatcher"
+	"pomelomoor/internal/entry/ranker"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/holder"
 	"pomelomoor/internal/member/peerpb"
@@ -31,6 +33,7 @@
 	limiter *rate.Limiter
 
 	mutex  sync.Mutex
+	ranker ranker.Ranker
 	list   lister.List
 	config *parser.Compiled
 }
@@ -188,49 +191,49 @@
 	return statement
 }
 
-// Weights of the choice between shards.
-const (
-	// remotePenalty is the load that the own region may have in excess before a job is sent elsewhere,
-	// since its messages then cross regions.
-	remotePenalty = 0.1
-	// unknownLoad ranks shards without a known owner behind all others.
-	unknownLoad = 1000.0
-)
-
-// rank implements dispatcher.Options.Rank: the shards whose site matches the job's selectors, the
-// least loaded first.
+// rank implements dispatcher.Options.Rank.
 func (shards *shards) rank(job *descriptor.Job) []descriptor.ShardID {
-	selectors := shards.selectors(job)
-	type ranked struct {
-		shard descriptor.ShardID
-		load  float64
+	described := shards.describe()
+	wanted := shards.selectors(job)
+	now := time.Now()
+	shards.mutex.Lock()
+	defer shards.mutex.Unlock()
+	order := shards.ranker.Rank(now, described, wanted)
+	if len(order) > 0 {
+		shards.ranker.Chosen(now, order[0], job)
 	}
-	var eligible []ranked
+	return order
+}
+
+// ownStatementAge is how old this instance's statement about its own shards may be.
+const ownStatementAge = 200 * time.Millisecond
+
+// describe returns all shards as their owners described them last.
+func (shards *shards) describe() []ranker.Shard {
+	var described []ranker.Shard
 	for _, shard := range shards.entry.shardList() {
-		labels := descriptor.Labels{
-			"Region": shard.Region,
-			"Site":   shard.Site,
+		one := ranker.Shard{
+			ID:     shard.ID,
+			Region: shard.Region,
+			Site:   shard.Site,
 		}
-		if !admits(selectors, labels) {
-			continue
-		}
-		load := shards.load(shard.ID)
-		if shard.Region != shards.entry.settings.Region {
-			load += remotePenalty
+		owner := shards.entry.exchanger.Owner(shard.ID)
+		for _, owned := range owner.GetShards() {
+			if owned.GetShard() != string(shard.ID) {
+				continue
+			}
+			one.Known = true
+			one.Capacity = exchanger.Resources(owned.GetCapacity())
+			one.Free = exchanger.Resources(owned.GetFree())
+			one.Waiting = exchanger.Resources(owned.GetWaiting())
+			one.HeardAt = shards.entry.exchanger.Heard(owner.GetId())
+			if owner.GetId() == shards.entry.id {
+				one.HeardAt = time.Now().Add(-ownStatementAge)
+			}
 		}
-		eligible = append(eligible, ranked{
-			shard: shard.ID,
-			load:  load,
-		})
+		described = append(described, one)
 	}
-	slices.SortStableFunc(eligible, func(a, b ranked) int {
-		return cmp.Compare(a.load, b.load)
-	})
-	order := make([]descriptor.ShardID, 0, len(eligible))
-	for _, ranked := range eligible {
-		order = append(order, ranked.shard)
-	}
-	return order
+	return described
 }
 
 func (shards *shards) selectors(job *descriptor.Job) []selector.Selector {
@@ -242,29 +245,6 @@
 	return selectors
 }
 
-func admits(selectors []selector.Selector, labels descriptor.Labels) bool {
-	for _, wanted := range selectors {
-		if !wanted.Admits(labels, "Region", "Site") {
-			return false
-		}
-	}
-	return true
-}
-
-// load is the part of a shard's capacity that is used or waited for.
-func (shards *shards) load(shard descriptor.ShardID) float64 {
-	owner := shards.entry.exchanger.Owner(shard)
-	for _, owned := range owner.GetShards() {
-		if owned.GetShard() != string(shard) {
-			continue
-		}
-		capacity := exchanger.Resources(owned.GetCapacity())
-		used := capacity.Sub(exchanger.Resources(owned.GetFree()))
-		return used.Add(exchanger.Resources(owned.GetWaiting())).DominantShare(capacity)
-	}
-	return unknownLoad
-}
-
 // build returns a driver that knows the list and the configuration.
 func (shards *shards) build(shard descriptor.ShardID) (*driver.Driver, func(), error) {
 	entry := shards.entry
