--- a/internal/placement/placer/choose.go
+++ b/internal/placement/placer/choose.go
@@ -31,8 +31,10 @@
 	Workers, Matching int
 	// LargeEnough counts the matching workers that could hold one task when empty.
 	LargeEnough int
-	// Leaving, Quarantined and Held count the matching workers that take no such work now.
-	Leaving, Quarantined, Held int
+	// Leaving and Quarantined count the matching workers that take no new runs.
+	Leaving, Quarantined int
+	// Held counts the workers of the shard that are kept for a gang, whether they match or not.
+	Held int
 	// Tasks is the number of tasks asked for.
 	Tasks int
 	// Room is the number of tasks that could start now. It is counted for gangs only.
