--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -73,7 +73,7 @@
 	for {
 		slot, peer, problem := call.service.acquire(ctx, call)
 		if problem != nil {
-			return call.end(forwarder.abandon(call, problem), answer{})
+			return call.end(call.tries.Abandon(time.Now(), problem), answer{})
 		}
 		var answer answer
 		if peer != "" {
@@ -96,12 +96,6 @@
 	}
 }
 
-func (forwarder *Forwarder) abandon(call *call, problem *descriptor.Problem) retrier.Verdict {
-	forwarder.mu.Lock()
-	defer forwarder.mu.Unlock()
-	return forwarder.retrier.Abandon(time.Now(), &call.tries, problem)
-}
-
 func (forwarder *Forwarder) decide(ctx context.Context, call *call, outcome retrier.Outcome) retrier.Verdict {
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -153,18 +147,13 @@
 		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
 	}
 	if errors.Is(err, requester.ErrMismatch) {
-		forwarder.options.Logger.ErrorContext(ctx, "answer of another request was discarded",
-			slog.Int("Event", eventWrongAnswer),
-			slog.String("Runner", slot.Runner),
-			slog.String("ID", id),
-			slog.String("Error", err.Error()),
-		)
+		forwarder.warn(ctx, eventWrongAnswer, "answer of another request was discarded", slot.Runner, id, err)
 	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		health = runnerHealth(ctx, err)
+		health = router.Judge(err, ctx.Err())
 		return answer{
-			outcome: failure(err),
+			outcome: retrier.FromError(err),
 		}
 	}
 	if response.Status < 500 {
@@ -179,34 +168,6 @@
 	}
 }
 
-// runnerHealth tells faults of a runner from ends that the caller or the deadline brought.
-func runnerHealth(ctx context.Context, err error) router.Outcome {
-	switch {
-	case errors.Is(err, requester.ErrBusy):
-		return router.OutcomeBusy
-	case errors.Is(err, requester.ErrLeaving):
-		return router.OutcomeLeaving
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return router.OutcomeTimeout
-	case ctx.Err() != nil:
-		return router.OutcomeCancelled
-	default:
-		return router.OutcomeFailure
-	}
-}
-
-// failure translates an error of a runner. An error of no known kind proves nothing.
-func failure(err error) retrier.Outcome {
-	if errors.Is(err, requester.ErrNotRun) {
-		return retrier.NotRun{
-			Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "request was not run: %v", err),
-		}
-	}
-	return retrier.Uncertain{
-		Reason: fmt.Sprintf("request may have run: %v", err),
-	}
-}
-
 // forward hands the request to a peer.
 func (forwarder *Forwarder) forward(ctx context.Context, call *call, peer string) answer {
 	ctx, span := forwarder.options.Tracer.Start(ctx, "peer",
@@ -221,41 +182,53 @@
 		call.service.peers.Return(peer, refused)
 	}()
 	id := call.nextID()
-	reply, err := forwarder.options.Forward(ctx, peer, &peerpb.ForwardRequest{
-		Id:                 id,
-		Service:            call.request.Service,
-		Caller:             call.request.Caller,
-		Lane:               string(call.lane),
-		DeadlineUnixMillis: call.request.Deadline.UnixMilli(),
-		Idempotent:         call.request.Idempotent,
-		Body:               call.request.Body,
-		Urgency:            string(call.urgency),
-	})
+	reply, err := forwarder.options.Forward(ctx, peer, call.message(id))
 	if err == nil && reply.GetId() != id {
 		err = errors.Errorf("reply carries %q", reply.GetId())
 	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		forwarder.options.Logger.WarnContext(ctx, "forward failed",
-			slog.Int("Event", eventForwardFailed),
-			slog.String("Peer", peer),
-			slog.String("ID", id),
-			slog.String("Error", err.Error()),
-		)
+		forwarder.warn(ctx, eventForwardFailed, "forward failed", peer, id, err)
+		outcome := retrier.Outcome(retrier.Uncertain{
+			Reason: fmt.Sprintf("peer may have run the request: %v", err),
+		})
 		if errors.Is(err, ErrNotRun) {
-			return answer{
-				outcome: retrier.NotRun{
-					Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "peer was not reached: %v", err),
-				},
+			outcome = retrier.NotRun{
+				Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "peer was not reached: %v", err),
 			}
 		}
 		return answer{
-			outcome: retrier.Uncertain{
-				Reason: fmt.Sprintf("peer may have run the request: %v", err),
-			},
+			outcome: outcome,
 		}
 	}
-	result := decodeReply(reply)
-	_, refused = result.outcome.(retrier.NotRun)
-	return result
+	outcome := retrier.FromReply(reply)
+	_, refused = outcome.(retrier.NotRun)
+	return answer{
+		outcome: outcome,
+		status:  int(reply.GetStatus()),
+		body:    reply.GetBody(),
+	}
+}
+
+func (call *call) message(id string) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		Id:                 id,
+		Service:            call.request.Service,
+		Caller:             call.request.Caller,
+		Lane:               string(call.lane),
+		DeadlineUnixMillis: call.request.Deadline.UnixMilli(),
+		Idempotent:         call.request.Idempotent,
+		Body:               call.request.Body,
+		Urgency:            string(call.urgency),
+	}
+}
+
+// warn logs a fault of a runner or peer at one attempt.
+func (forwarder *Forwarder) warn(ctx context.Context, event int, text, instance, id string, err error) {
+	forwarder.options.Logger.WarnContext(ctx, text,
+		slog.Int("Event", event),
+		slog.String("Instance", instance),
+		slog.String("ID", id),
+		slog.String("Error", err.Error()),
+	)
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -163,7 +163,7 @@
 		own, listed := runners[name]
 		service.router.SetRunners(now, own)
 		service.dispatch(now)
-		if !listed && service.unused() {
+		if !listed && service.waiting() == 0 && service.router.Idle() {
 			service.disarm()
 			delete(forwarder.services, name)
 		}
@@ -306,7 +306,7 @@
 		Status:  uint32(result.Status),
 		Body:    result.Body,
 		Id:      request.GetId(),
-		Problem: encodeProblem(result.Problem),
+		Problem: retrier.EncodeProblem(result.Problem),
 	}
 }
 
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
@@ -224,40 +223,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			upstream := newUpstream(t, seed, true)
 			pair := newPair(t, upstream, runners(3))
-			fates := map[string]int{}
-			var mu sync.Mutex
-			var wait sync.WaitGroup
-			random := rand.New(rand.NewPCG(seed, 1))
-			for i := range 1500 {
-				// All times are whole milliseconds, so that ends of waits and grants cross.
-				<-time.After(time.Duration(random.IntN(3)) * time.Millisecond)
-				if i%25 == 0 {
-					pair.exchange()
-				}
-				body := fmt.Sprint("request ", i)
-				// Most callers meet instance a, so that it has to forward.
-				forwarder := pair.forwarders[[]string{"a", "a", "a", "b"}[i%4]]
-				request := Request{
-					Service:    "desk",
-					Caller:     fmt.Sprint(i % 5),
-					Deadline:   time.Now().Add(time.Duration(50+random.IntN(200)) * time.Millisecond),
-					Idempotent: i%2 == 0,
-					Body:       []byte(body),
-				}
-				ctx, cancel := context.WithCancel(t.Context())
-				if i%10 == 0 {
-					time.AfterFunc(time.Duration(random.IntN(30))*time.Millisecond, cancel)
-				}
-				wait.Go(func() {
-					defer cancel()
-					result := forwarder.Do(ctx, request)
-					mu.Lock()
-					defer mu.Unlock()
-					fates[descriptor.Record(result.Fate).Fate]++
-					checkFate(t, upstream, request, result)
-				})
-			}
-			wait.Wait()
+			fates := send(t, seed, upstream, pair)
 			for _, fate := range []string{"Done", "NotRun", "Failed", "Unknown"} {
 				if fates[fate] == 0 {
 					t.Errorf("no request ended as %s: %v", fate, fates)
@@ -276,6 +242,46 @@
 	}
 }
 
+// send sends requests with random deadlines and cancellations, checks their ends and returns how
+// many ended with each fate.
+func send(t *testing.T, seed uint64, upstream *upstream, pair *pair) map[string]int {
+	fates := map[string]int{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	random := rand.New(rand.NewPCG(seed, 1))
+	for i := range 1500 {
+		// All times are whole milliseconds, so that ends of waits and grants cross.
+		<-time.After(time.Duration(random.IntN(3)) * time.Millisecond)
+		if i%25 == 0 {
+			pair.exchange()
+		}
+		body := fmt.Sprint("request ", i)
+		// Most callers meet instance a, so that it has to forward.
+		forwarder := pair.forwarders[[]string{"a", "a", "a", "b"}[i%4]]
+		request := Request{
+			Service:    "desk",
+			Caller:     fmt.Sprint(i % 5),
+			Deadline:   time.Now().Add(time.Duration(50+random.IntN(200)) * time.Millisecond),
+			Idempotent: i%2 == 0,
+			Body:       []byte(body),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		if i%10 == 0 {
+			time.AfterFunc(time.Duration(random.IntN(30))*time.Millisecond, cancel)
+		}
+		wait.Go(func() {
+			defer cancel()
+			result := forwarder.Do(ctx, request)
+			mu.Lock()
+			defer mu.Unlock()
+			fates[descriptor.Record(result.Fate).Fate]++
+			checkFate(t, upstream, request, result)
+		})
+	}
+	wait.Wait()
+	return fates
+}
+
 func checkFate(t *testing.T, upstream *upstream, request Request, result Result) {
 	body := string(request.Body)
 	upstream.mu.Lock()
@@ -441,45 +447,6 @@
 	})
 }
 
-// instant answers at once.
-type instant struct{}
-
-func (instant) Send(_ context.Context, _ netip.AddrPort, request requester.Request) (requester.Response, error) {
-	return requester.Response{
-		ID:     request.ID,
-		Status: 200,
-	}, nil
-}
-
-// BenchmarkDo measures what the entry instance itself adds to a request, with 50 runners and as
-// many callers as processors.
-func BenchmarkDo(b *testing.B) {
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Reporter: tally.NullStatsReporter,
-	}, time.Second)
-	defer closer.Close()
-	forwarder, stop := New(Options{
-		Self:      "a",
-		Region:    "kigali",
-		Requester: instant{},
-		Scope:     scope,
-	})
-	defer stop()
-	forwarder.SetInstances(runners(50))
-	request := Request{
-		Service: "desk",
-		Caller:  "kiosk",
-	}
-	b.ReportAllocs()
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			if result := forwarder.Do(context.Background(), request); result.Problem != nil {
-				b.Error(result.Problem)
-			}
-		}
-	})
-}
-
 // Guards against forwarded requests that wait at a peer whose report was out of date, while their
 // own instance would serve them earlier.
 func TestForwardedDoNotWait(t *testing.T) {
--- a/internal/request/forwarder/service.go
+++ b/internal/request/forwarder/service.go
@@ -61,10 +61,6 @@
 	return service.queuer.Len(parser.LaneShort) + service.queuer.Len(parser.LaneLong)
 }
 
-func (service *service) unused() bool {
-	return service.waiting() == 0 && service.router.Idle()
-}
-
 // dispatch gives free slots to waiting requests and arranges to be called again when a paused
 // runner takes work again.
 func (service *service) dispatch(now time.Time) {
@@ -218,7 +214,7 @@
 		}
 	}
 	service.metrics.refused(refusal.Reason)
-	return nil, "", refusalProblem(refusal)
+	return nil, "", refusal.Problem()
 }
 
 func (service *service) demand(now time.Time, item queuer.Item, slots queuer.Slots) router.Demand {
@@ -237,7 +233,7 @@
 func (service *service) accept(granted grant, started time.Time) (router.Slot, string, *descriptor.Problem) {
 	if granted.refusal != nil {
 		service.metrics.refused(granted.refusal.Reason)
-		return router.Slot{}, "", refusalProblem(granted.refusal)
+		return router.Slot{}, "", granted.refusal.Problem()
 	}
 	service.metrics.wait.RecordDuration(time.Since(started))
 	return granted.slot, "", nil
@@ -262,21 +258,6 @@
 	}
 }
 
-func refusalProblem(refusal *queuer.Refusal) *descriptor.Problem {
-	switch refusal.Reason {
-	case queuer.ReasonExpired:
-		return descriptor.NewProblem(descriptor.CodeDeadline, 0, "deadline passed before a slot was free")
-	case queuer.ReasonNoSlots:
-		return descriptor.NewProblem(descriptor.CodeUnavailable, refusal.RetryAfter, "no runner takes work")
-	case queuer.ReasonLate:
-		return descriptor.NewProblem(descriptor.CodeOverloaded, refusal.RetryAfter, "request would miss its deadline")
-	case queuer.ReasonDisplaced:
-		return descriptor.NewProblem(descriptor.CodeOverloaded, refusal.RetryAfter, "request was displaced by more urgent work or by other callers")
-	default:
-		return descriptor.NewProblem(descriptor.CodeOverloaded, refusal.RetryAfter, "too many requests wait")
-	}
-}
-
 func givenUp(ctx context.Context) *descriptor.Problem {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return descriptor.NewProblem(descriptor.CodeDeadline, 0, "deadline passed before a slot was free")
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -62,6 +62,22 @@
 	RetryAfter time.Duration
 }
 
+// Problem returns what the caller of the refused item is told.
+func (refusal *Refusal) Problem() *descriptor.Problem {
+	code, message, retryAfter := descriptor.CodeOverloaded, "too many requests wait", refusal.RetryAfter
+	switch refusal.Reason {
+	case ReasonExpired:
+		code, message, retryAfter = descriptor.CodeDeadline, "deadline passed before a slot was free", 0
+	case ReasonNoSlots:
+		code, message = descriptor.CodeUnavailable, "no runner takes work"
+	case ReasonLate:
+		message = "request would miss its deadline"
+	case ReasonDisplaced:
+		message = "request was displaced by more urgent work or by other callers"
+	}
+	return descriptor.NewProblem(code, retryAfter, "%s", message)
+}
+
 // Queuer holds the lanes of one service. The zero value is ready for use.
 type Queuer struct {
 	// Limit bounds the items that wait in each lane; 0 means DefaultLimit.
--- a/internal/request/queuer/queuer_test.go
+++ b/internal/request/queuer/queuer_test.go
@@ -238,8 +238,17 @@
 			t.Fatalf("item of %s was displaced while the greedy caller waits", gone.Item.Caller)
 		}
 	}
-	later := item("later", "normal", "Low", staleAfter+10*time.Millisecond)
-	if refusal, _ := queuer.Offer(start.Add(staleAfter+time.Millisecond), later, slots); refusal != nil {
-		t.Fatalf("refused as %s by times that nothing confirms", refusal.Reason)
+	checkStale(t, &queuer, slots)
+}
+
+// checkStale fails if times that no completion confirms still refuse work.
+func checkStale(t *testing.T, queuer *Queuer, slots Slots) {
+	now := start.Add(staleAfter + time.Millisecond)
+	refusal, _ := queuer.Offer(now, Item{
+		ID:       "later",
+		Deadline: now.Add(9 * time.Millisecond),
+	}, slots)
+	if refusal != nil {
+		t.Fatalf("refused as %s", refusal.Reason)
 	}
 }
--- a/internal/request/forwarder/message.go
+++ b/internal/request/retrier/outcome.go
@@ -1,42 +1,61 @@
-package forwarder
+package retrier
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"pomelomoor/internal/member/peerpb"
-	"pomelomoor/internal/request/retrier"
+	"pomelomoor/internal/platform/requester"
 	"pomelomoor/internal/work/descriptor"
 )
 
-// decodeReply translates a peer's reply. A fate of no known kind proves nothing.
-func decodeReply(reply *peerpb.ForwardReply) answer {
-	problem := decodeProblem(reply.GetProblem())
-	result := answer{
-		status: int(reply.GetStatus()),
-		body:   reply.GetBody(),
+// FromError translates an error of a runner. An error of no known kind proves nothing.
+func FromError(err error) Outcome {
+	if errors.Is(err, requester.ErrNotRun) {
+		return NotRun{
+			Problem: descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "request was not run: %v", err),
+		}
 	}
+	return Uncertain{
+		Reason: fmt.Sprintf("request may have run: %v", err),
+	}
+}
+
+// FromReply translates a peer's reply. A fate of no known kind proves nothing.
+func FromReply(reply *peerpb.ForwardReply) Outcome {
+	problem := decodeProblem(reply.GetProblem())
 	switch reply.GetFate() {
 	case descriptor.Record(descriptor.Done{}).Fate:
-		result.outcome = retrier.Answered{
-			Status: result.status,
+		return Answered{
+			Status: int(reply.GetStatus()),
 		}
 	case descriptor.Record(descriptor.Failed{}).Fate:
-		result.outcome = retrier.Answered{
-			Status: max(result.status, 500),
+		return Answered{
+			Status: max(int(reply.GetStatus()), 500),
 		}
 	case descriptor.Record(descriptor.NotRun{}).Fate:
-		result.outcome = retrier.NotRun{
+		return NotRun{
 			Problem: problem,
 		}
 	default:
-		result.outcome = retrier.Uncertain{
+		return Uncertain{
 			Reason: problem.Message,
 		}
 	}
-	return result
 }
 
-func encodeProblem(problem *descriptor.Problem) *peerpb.Problem {
+func decodeProblem(problem *peerpb.Problem) *descriptor.Problem {
+	if problem == nil {
+		return descriptor.NewProblem(descriptor.CodeUncertain, 0, "peer gave no reason")
+	}
+	retryAfter := time.Duration(problem.GetRetryAfterMillis()) * time.Millisecond
+	return descriptor.NewProblem(descriptor.Code(problem.GetCode()), retryAfter, "%s", problem.GetMessage())
+}
+
+// EncodeProblem returns the form of problem that FromReply reads.
+func EncodeProblem(problem *descriptor.Problem) *peerpb.Problem {
 	if problem == nil {
 		return nil
 	}
@@ -46,11 +65,3 @@
 		RetryAfterMillis: problem.RetryAfter.Milliseconds(),
 	}
 }
-
-func decodeProblem(problem *peerpb.Problem) *descriptor.Problem {
-	if problem == nil {
-		return descriptor.NewProblem(descriptor.CodeUncertain, 0, "peer gave no reason")
-	}
-	retryAfter := time.Duration(problem.GetRetryAfterMillis()) * time.Millisecond
-	return descriptor.NewProblem(descriptor.Code(problem.GetCode()), retryAfter, "%s", problem.GetMessage())
-}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -102,14 +102,14 @@
 				Retry: true,
 			}
 		}
-		return request.end(now, descriptor.NewProblem(descriptor.CodeUpstream, 0, "upstream answered with status %d", outcome.Status))
+		return request.Abandon(now, descriptor.NewProblem(descriptor.CodeUpstream, 0, "upstream answered with status %d", outcome.Status))
 	case NotRun:
 		if request.mayRepeat() && retrier.allow(now, request, TokensPerRefusal) {
 			return Verdict{
 				Retry: true,
 			}
 		}
-		return request.end(now, outcome.Problem)
+		return request.Abandon(now, outcome.Problem)
 	case Uncertain:
 		request.uncertain = true
 		if request.Idempotent && retrier.allow(now, request, TokensPerRetry) {
@@ -117,9 +117,9 @@
 				Retry: true,
 			}
 		}
-		return request.end(now, descriptor.NewProblem(descriptor.CodeUncertain, 0, "%s", outcome.Reason))
+		return request.Abandon(now, descriptor.NewProblem(descriptor.CodeUncertain, 0, "%s", outcome.Reason))
 	default:
-		return request.end(now, descriptor.NewProblem(descriptor.CodeInternal, 0, "outcome of attempt is missing"))
+		return request.Abandon(now, descriptor.NewProblem(descriptor.CodeInternal, 0, "outcome of attempt is missing"))
 	}
 }
 
@@ -129,12 +129,8 @@
 }
 
 // Abandon returns the final fate of a request that gets no further attempt, because of problem.
-func (retrier *Retrier) Abandon(now time.Time, request *Request, problem *descriptor.Problem) Verdict {
-	return request.end(now, problem)
-}
-
-// end returns the fate that holds over all attempts: NotRun is claimed only if none may have run.
-func (request *Request) end(now time.Time, problem *descriptor.Problem) Verdict {
+// The fate holds over all attempts: NotRun is claimed only if none may have run.
+func (request *Request) Abandon(now time.Time, problem *descriptor.Problem) Verdict {
 	if problem == nil {
 		problem = descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "request was not run")
 	}
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -14,16 +14,6 @@
 // the attempts, the deadline or the budgets.
 func TestDecide(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	outcomes := []Outcome{
-		Answered{
-			Status: 200,
-		},
-		Answered{
-			Status: 502,
-		},
-		NotRun{},
-		Uncertain{},
-	}
 	rapid.Check(t, func(t *rapid.T) {
 		var retrier Retrier
 		paid, earned := map[string]float64{}, map[string]float64{}
@@ -34,35 +24,7 @@
 				MaxAttempts: rapid.IntRange(0, 4).Draw(t, "attempts"),
 				Deadline:    start.Add(3 * time.Second),
 			}
-			ran, uncertain := false, false
-			for attempt := 1; ; attempt++ {
-				now := start.Add(time.Duration(rapid.IntRange(0, attempt).Draw(t, "now")) * time.Second)
-				outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
-				price := TokensPerRetry
-				switch outcome := outcome.(type) {
-				case Answered:
-					ran = true
-					if outcome.Status < 500 {
-						earned[request.Caller] += TokensPerSuccess
-					}
-				case Uncertain:
-					uncertain = true
-				case NotRun:
-					price = TokensPerRefusal
-				}
-				verdict := retrier.Decide(now, request, outcome)
-				if !verdict.Retry {
-					checkEnd(t, verdict, outcome, ran, uncertain)
-					break
-				}
-				if !request.Idempotent && (ran || uncertain) {
-					t.Fatalf("non-idempotent request is retried after %#v", outcome)
-				}
-				if attempt >= request.MaxAttempts || !now.Before(request.Deadline) {
-					t.Fatalf("attempt %d is followed by another one", attempt)
-				}
-				paid[request.Caller] += price
-			}
+			try(t, &retrier, request, start, paid, earned)
 		}
 		total := 0.0
 		for caller, sum := range paid {
@@ -77,6 +39,49 @@
 	})
 }
 
+// try makes attempts with random outcomes until one is final. It adds up the tokens of the caller.
+func try(t *rapid.T, retrier *Retrier, request *Request, start time.Time, paid, earned map[string]float64) {
+	outcomes := []Outcome{
+		Answered{
+			Status: 200,
+		},
+		Answered{
+			Status: 502,
+		},
+		NotRun{},
+		Uncertain{},
+	}
+	ran, uncertain := false, false
+	for attempt := 1; ; attempt++ {
+		now := start.Add(time.Duration(rapid.IntRange(0, attempt).Draw(t, "now")) * time.Second)
+		outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
+		price := TokensPerRetry
+		switch outcome := outcome.(type) {
+		case Answered:
+			ran = true
+			if outcome.Status < 500 {
+				earned[request.Caller] += TokensPerSuccess
+			}
+		case Uncertain:
+			uncertain = true
+		case NotRun:
+			price = TokensPerRefusal
+		}
+		verdict := retrier.Decide(now, request, outcome)
+		if !verdict.Retry {
+			checkEnd(t, verdict, outcome, ran, uncertain)
+			return
+		}
+		if !request.Idempotent && (ran || uncertain) {
+			t.Fatalf("non-idempotent request is retried after %#v", outcome)
+		}
+		if attempt >= request.MaxAttempts || !now.Before(request.Deadline) {
+			t.Fatalf("attempt %d is followed by another one", attempt)
+		}
+		paid[request.Caller] += price
+	}
+}
+
 func checkEnd(t *rapid.T, verdict Verdict, outcome Outcome, ran, uncertain bool) {
 	answered, isAnswer := outcome.(Answered)
 	success := isAnswer && answered.Status < 500
--- a/internal/request/router/health.go
+++ b/internal/request/router/health.go
@@ -1,11 +1,15 @@
 package router
 
 import (
+	"context"
 	"math"
 	"math/bits"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/platform/requester"
 )
 
 // Outcome is what one attempt told about a runner.
@@ -27,6 +31,23 @@
 	OutcomeCancelled
 )
 
+// Judge tells faults of a runner from ends that the caller or the deadline brought. Err is what
+// the attempt returned and ended why its context ended, if it did.
+func Judge(err, ended error) Outcome {
+	switch {
+	case errors.Is(err, requester.ErrBusy):
+		return OutcomeBusy
+	case errors.Is(err, requester.ErrLeaving):
+		return OutcomeLeaving
+	case errors.Is(ended, context.DeadlineExceeded):
+		return OutcomeTimeout
+	case ended != nil:
+		return OutcomeCancelled
+	default:
+		return OutcomeFailure
+	}
+}
+
 const (
 	// slownessGain is the weight of one answer in the mean of a runner.
 	slownessGain = 0.1
