--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -133,8 +133,12 @@
 	forwarder.config.Store(config)
 }
 
-// SetInstances takes the platform's list. Only runners of the own region are used.
+// SetInstances takes the platform's list. Only runners of the own region are used. A list without
+// Instances is an unchanged one and has no effect.
 func (forwarder *Forwarder) SetInstances(list lister.List) {
+	if list.Instances == nil {
+		return
+	}
 	runners := map[string][]router.Runner{}
 	for _, instance := range list.Instances {
 		if instance.Role != lister.RoleRunner {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -322,9 +322,12 @@
 		if err := forwarder.Drain(t.Context()); err != nil {
 			t.Errorf("drain: %v", err)
 		}
-		forwarder.SetInstances(lister.List{})
+		none := lister.List{
+			Instances: []lister.Instance{},
+		}
+		forwarder.SetInstances(none)
 		<-time.After(time.Hour)
-		forwarder.SetInstances(lister.List{})
+		forwarder.SetInstances(none)
 		if len(forwarder.services) > 0 {
 			t.Errorf("%s still holds slots or requests", name)
 		}
@@ -429,13 +432,14 @@
 }
 
 // Guards against requests that wait on after a runner's pause has ended, when no other request
-// ends to wake them.
+// ends to wake them, and against runners that are lost because the list did not change.
 func TestPauseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := newUpstream(t, 1, false)
 		upstream.busy = 2
 		forwarder := newForwarder(t, upstream)
 		forwarder.SetInstances(runners(1))
+		forwarder.SetInstances(lister.List{})
 		result := forwarder.Do(t.Context(), Request{
 			Service:  "desk",
 			Caller:   "kiosk",
