--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -275,7 +274,8 @@
 		request.Deadline = time.Now().Add(treatment.Timeout)
 	}
 	return forwarder.run(ctx, &call{
-		id:         newID(),
+		// The ID is random, so that no other request of any instance has it.
+		id:         rand.Text(),
 		request:    request,
 		lane:       treatment.Lane,
 		urgency:    treatment.Urgency,
@@ -292,7 +292,7 @@
 		lane = parser.LaneLong
 	}
 	result := forwarder.run(ctx, &call{
-		id: newID(),
+		id: rand.Text(),
 		request: Request{
 			Service:    request.GetService(),
 			Caller:     request.GetCaller(),
@@ -356,11 +356,3 @@
 	service.metrics.end(result, time.Since(started))
 	return result
 }
-
-// newID returns an ID that no other request of any instance has.
-func newID() string {
-	var random [16]byte
-	// rand.Read never returns an error.
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
