--- /dev/null
+++ b/integration/cell_test.go
@@ -0,0 +1,301 @@
+package integration_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pomelomoor/internal/node/loader"
+	"pomelomoor/internal/standin/keeper"
+	"pomelomoor/internal/standin/runner"
+	"pomelomoor/internal/standin/worker"
+	"pomelomoor/internal/work/descriptor"
+)
+
+const (
+	region  = "kigali"
+	site    = "kigali-a"
+	shard   = descriptor.ShardID("kigali-a-0")
+	service = "lending-desk"
+	// recoveryLimit bounds the time until another instance serves a lost shard; it contains the
+	// leases and the tests' own load.
+	recoveryLimit = 30 * time.Second
+	gibibyte      = int64(1) << 30
+)
+
+// size is the capacity of each worker.
+var size = descriptor.Resources{
+	MilliCPU:    4000,
+	MemoryBytes: 8 * gibibyte,
+}
+
+// options describe a cell. Zero values mean none.
+type options struct {
+	Entries int
+	Workers int
+	Runners int
+	// Adjust changes the settings of the entry instances.
+	Adjust func(settings *loader.Settings)
+}
+
+// cell is the whole system of one test.
+type cell struct {
+	t       testing.TB
+	options options
+	store   *node
+
+	mutex   sync.Mutex
+	entries []*entry
+	workers []*node
+	runners []*node
+	started int
+}
+
+// node is a stand-in.
+type node struct {
+	*process
+	id      string
+	address netip.AddrPort
+}
+
+// newCell starts all processes and waits until the entry instances are ready and the shard is served.
+func newCell(t *testing.T, options options) *cell {
+	t.Helper()
+	t.Parallel()
+	cell := &cell{
+		t:       t,
+		options: options,
+	}
+	cell.store = cell.startStandin("store", "store", "--silence", "3s")
+	for i := range options.Workers {
+		cell.startWorker(fmt.Sprintf("worker-%d", i+1))
+	}
+	for i := range options.Runners {
+		cell.startRunner(fmt.Sprintf("runner-%d", i+1))
+	}
+	for range options.Entries {
+		cell.startEntry()
+	}
+	for _, entry := range cell.live() {
+		entry.awaitReady()
+	}
+	cell.awaitOwner()
+	return cell
+}
+
+func (cell *cell) startStandin(id, kind string, arguments ...string) *node {
+	cell.t.Helper()
+	var banner struct {
+		Address netip.AddrPort
+	}
+	process := startProcess(cell.t, id, &banner, standin, append([]string{kind}, arguments...)...)
+	return &node{
+		process: process,
+		id:      id,
+		address: banner.Address,
+	}
+}
+
+func (cell *cell) place(index int) []string {
+	return []string{
+		"--list", cell.store.address.String(),
+		"--region", region, "--site", site, "--rack", "rack-" + strconv.Itoa(index),
+	}
+}
+
+func (cell *cell) startWorker(id string) *node {
+	cell.t.Helper()
+	arguments := append(cell.place(len(cell.workers)),
+		"--id", id,
+		"--milli-cpu", strconv.FormatInt(size.MilliCPU, 10),
+		"--memory-bytes", strconv.FormatInt(size.MemoryBytes, 10),
+		"--usage-lag", "200ms")
+	node := cell.startStandin(id, "worker", arguments...)
+	cell.workers = append(cell.workers, node)
+	return node
+}
+
+func (cell *cell) startRunner(id string) *node {
+	cell.t.Helper()
+	arguments := append(cell.place(len(cell.runners)), "--id", id, "--service", service)
+	node := cell.startStandin(id, "runner", arguments...)
+	cell.runners = append(cell.runners, node)
+	return node
+}
+
+// settings have shorter leases and intervals than the defaults, so that failures are noticed sooner.
+func (cell *cell) settings() loader.Settings {
+	settings := loader.Defaults()
+	duration := func(value time.Duration) descriptor.Duration {
+		return descriptor.Duration{
+			Duration: value,
+		}
+	}
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	settings.Region, settings.Site = region, site
+	settings.HTTP, settings.Peer = anyPort, anyPort
+	settings.Timeouts.StoreLease = duration(2 * time.Second)
+	settings.Timeouts.LeaseMargin = duration(300 * time.Millisecond)
+	settings.Timeouts.PeerSilence = duration(1500 * time.Millisecond)
+	settings.Timeouts.Drain = duration(15 * time.Second)
+	settings.Intervals.LeaseRenewal = duration(400 * time.Millisecond)
+	settings.Intervals.Exchange = duration(300 * time.Millisecond)
+	settings.Intervals.List = duration(300 * time.Millisecond)
+	if cell.options.Adjust != nil {
+		cell.options.Adjust(&settings)
+	}
+	return settings
+}
+
+func (cell *cell) writeSettings(settings loader.Settings) string {
+	cell.t.Helper()
+	document, err := json.Marshal(settings)
+	if err != nil {
+		cell.t.Fatal(err)
+	}
+	path := filepath.Join(cell.t.TempDir(), settings.ID+".json")
+	if err := os.WriteFile(path, document, 0o600); err != nil {
+		cell.t.Fatal(err)
+	}
+	return path
+}
+
+// live returns the entry instances that have not ended.
+func (cell *cell) live() []*entry {
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	var live []*entry
+	for _, entry := range cell.entries {
+		select {
+		case <-entry.ended:
+		default:
+			live = append(live, entry)
+		}
+	}
+	return live
+}
+
+// owner returns the instance that owns the shard in the view of the live instances, by the highest
+// epoch that any of them knows.
+func (cell *cell) owner() (*entry, uint64, error) {
+	var id string
+	var epoch uint64
+	live := cell.live()
+	for _, entry := range live {
+		for _, known := range entry.view() {
+			for _, owned := range known.Shards {
+				if owned.ID == shard && owned.Epoch > epoch {
+					id, epoch = known.ID, owned.Epoch
+				}
+			}
+		}
+	}
+	for _, entry := range live {
+		if entry.id == id {
+			return entry, epoch, nil
+		}
+	}
+	return nil, 0, fmt.Errorf("no live instance owns shard %s; the latest owner is %q", shard, id)
+}
+
+func (cell *cell) awaitOwner() *entry {
+	cell.t.Helper()
+	return cell.awaitOwnerAbove(0)
+}
+
+// awaitOwnerAbove waits for an owner with a higher epoch.
+func (cell *cell) awaitOwnerAbove(epoch uint64) *entry {
+	cell.t.Helper()
+	var found *entry
+	await(cell.t, recoveryLimit, "owner of the shard", func() error {
+		owner, current, err := cell.owner()
+		if err == nil && current <= epoch {
+			err = fmt.Errorf("epoch %d, not above %d", current, epoch)
+		}
+		found = owner
+		return err
+	})
+	return found
+}
+
+func (cell *cell) epoch() uint64 {
+	cell.t.Helper()
+	_, epoch, err := cell.owner()
+	if err != nil {
+		cell.t.Fatal(err)
+	}
+	return epoch
+}
+
+// get reads a JSON document of a stand-in.
+func (node *node) get(path string, target any) {
+	node.t.Helper()
+	response, err := http.Get("http://" + node.address.String() + path)
+	if err != nil {
+		node.t.Fatalf("%s: %v", node.id, err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(target); err != nil {
+		node.t.Fatalf("%s: %s: %v", node.id, path, err)
+	}
+}
+
+// send makes a call to a stand-in's switches.
+func (node *node) send(method, path string, document any) {
+	node.t.Helper()
+	if err := node.try(method, path, document); err != nil {
+		node.t.Fatalf("%s: %s: %v", node.id, path, err)
+	}
+}
+
+func (node *node) try(method, path string, document any) error {
+	body, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(method, "http://"+node.address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return errors.New(response.Status + ": " + string(text))
+	}
+	return nil
+}
+
+func (node *node) setStore(faults keeper.Faults) {
+	node.t.Helper()
+	node.send(http.MethodPut, "/v1/faults", faults)
+}
+
+func (node *node) setWorker(faults worker.Faults) {
+	node.t.Helper()
+	node.send(http.MethodPut, "/v1/faults", faults)
+}
+
+func (node *node) setRunner(faults runner.Faults) {
+	node.t.Helper()
+	node.send(http.MethodPut, "/v1/faults", faults)
+}
+
+// restart makes a worker lose its state.
+func (node *node) restart() {
+	node.t.Helper()
+	node.send(http.MethodPost, "/v1/restart", nil)
+}
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -310,7 +310,7 @@
 				Incarnation: fmt.Sprintf("%020d", time.Now().UnixNano()),
 				Region:      entry.settings.Region,
 				Site:        entry.settings.Site,
-				Address:     entry.messenger.Address().String(),
+				Address:     entry.advertised().String(),
 			},
 			Interval:           entry.settings.Intervals.Exchange.Duration,
 			RemoteInterval:     entry.settings.Intervals.RegionExchange.Duration,
@@ -328,6 +328,14 @@
 	})
 }
 
+// advertised returns the address at which peers call the instance.
+func (entry *Entry) advertised() netip.AddrPort {
+	if entry.settings.Advertise.IsValid() {
+		return entry.settings.Advertise
+	}
+	return entry.messenger.Address()
+}
+
 func (entry *Entry) buildServer() error {
 	api := &handler.Handler{
 		Jobs: adapter.Jobs{
--- a/internal/node/loader/check.go
+++ b/internal/node/loader/check.go
@@ -84,6 +84,9 @@
 	if settings.HTTP == settings.Peer && settings.HTTP.Port() != 0 {
 		checker.fault("Peer", "is the same as HTTP")
 	}
+	if settings.Advertise.IsValid() {
+		checker.upstream("Advertise", settings.Advertise)
+	}
 	if len(settings.Store) == 0 {
 		checker.fault("Store", "is missing")
 	}
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -26,6 +26,9 @@
 	HTTP netip.AddrPort
 	// Peer is where other entry instances are answered. They call it, so it names one interface.
 	Peer netip.AddrPort
+	// Advertise is the address that peers are told instead of the bound Peer address, for an instance
+	// that is reached through a forwarder. Empty means the bound one.
+	Advertise netip.AddrPort
 	// Store lists the addresses of the key-value service.
 	Store []netip.AddrPort
 	// List is the address of the platform's list of instances.
