--- a/integration/cell_test.go
+++ b/integration/cell_test.go
@@ -119,6 +119,7 @@
 		"--id", id,
 		"--milli-cpu", strconv.FormatInt(size.MilliCPU, 10),
 		"--memory-bytes", strconv.FormatInt(size.MemoryBytes, 10),
+		"--labels", "Name="+id,
 		"--usage-lag", "200ms")
 	node := cell.startStandin(id, "worker", arguments...)
 	cell.workers = append(cell.workers, node)
--- /dev/null
+++ b/integration/fate_test.go
@@ -0,0 +1,266 @@
+package integration_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pomelomoor/internal/standin/keeper"
+	"pomelomoor/internal/standin/worker"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// once makes a job one that must not run twice.
+func once(job descriptor.Job) descriptor.Job {
+	job.Idempotent = false
+	return job
+}
+
+// checkNotRun fails the test if work that callers were told was not run was started by any worker,
+// or if work that is Done was not.
+func checkNotRun(t testing.TB, states []descriptor.JobStatus, records []worker.Record) {
+	t.Helper()
+	runs := byTask(records)
+	for _, state := range states {
+		for _, known := range state.Tasks {
+			starts := runs[task{
+				job:   state.ID,
+				index: known.Task,
+			}]
+			notRun := known.Fate.Fate == "NotRun" || state.Fate.Fate == "NotRun"
+			if notRun && len(starts) > 0 {
+				t.Errorf("task %d of job %s is %s (%s) and was started: %+v", known.Task, state.ID, known.Fate.Fate, known.Fate.Reason, starts)
+			}
+			if known.Fate.Fate == "Done" && len(starts) == 0 {
+				t.Errorf("task %d of job %s is Done and was never started", known.Task, state.ID)
+			}
+		}
+	}
+}
+
+// Guards I4: a start whose answer never came, from an owner that is then killed, would be reported
+// as not run although the worker has carried it out or still will.
+func TestNotRunIsProof(t *testing.T) {
+	cell := newCell(t, options{
+		Entries: 3,
+		Workers: 4,
+	})
+	faults := []func(owner *entry, node *node){
+		func(owner *entry, node *node) {
+			owner.to(node).cut()
+		},
+		func(owner *entry, node *node) {
+			owner.to(node).loseAnswers()
+		},
+		func(_ *entry, node *node) {
+			node.setWorker(worker.Faults{
+				Slow: descriptor.Duration{
+					Duration: 2500 * time.Millisecond,
+				},
+			})
+		},
+		func(_ *entry, node *node) {
+			node.setWorker(worker.Faults{
+				LoseAnswers: 3,
+			})
+		},
+	}
+	var ids []descriptor.JobID
+	for round := range 3 {
+		owner, epoch := cell.awaitOwner(), cell.epoch()
+		var group sync.WaitGroup
+		submitted := make([]descriptor.JobID, 16)
+		for i := range submitted {
+			group.Go(func() {
+				job := once(batch(fmt.Sprintf("loan-%d-%d", round, i), 1+i%2, cores(1), 400*time.Millisecond))
+				if i%4 == 3 {
+					job.Deadline = time.Now().Add(3 * time.Second)
+				}
+				submitted[i] = cell.submit(job)
+				if i%2 == 0 {
+					// The answer of a cancellation may be lost with the owner; the fate counts.
+					_, _ = cell.client().Cancel(context.Background(), submitted[i])
+				}
+			})
+		}
+		for i, node := range cell.workers {
+			faults[(i+round)%len(faults)](owner, node)
+		}
+		group.Wait()
+		ids = append(ids, submitted...)
+		cell.awaitStarts(recoveryLimit, 4*round+4)
+		owner.kill()
+		cell.awaitOwnerAbove(epoch)
+		for _, node := range cell.workers {
+			node.setWorker(worker.Faults{})
+		}
+		cell.startEntry().awaitReady()
+	}
+	states := cell.awaitFates(time.Minute, ids, "Done", "NotRun", "Failed", "Unknown")
+	records := cell.history()
+	checkNotRun(t, states, records)
+	checkOnce(t, records)
+	notRun := 0
+	for _, state := range states {
+		if state.Fate.Fate == "NotRun" {
+			notRun++
+		}
+	}
+	if notRun == 0 {
+		t.Error("no job was reported as not run")
+	}
+}
+
+// Guards I5: jobs that must not run twice would be started again after the loss of their owner, of
+// their worker's state, or of the store's answer.
+func TestCreditNotesRunAtMostOnce(t *testing.T) {
+	cell := newCell(t, options{
+		Entries: 3,
+		Workers: 4,
+	})
+	var ids []descriptor.JobID
+	submit := func(round int) {
+		cell.store.setStore(keeper.Faults{
+			LoseAnswers: 6,
+		})
+		for i := range 10 {
+			ids = append(ids, cell.submit(once(batch(fmt.Sprintf("note-%d-%d", round, i), 1+i%2, cores(1), 600*time.Millisecond))))
+		}
+	}
+	for round := range 3 {
+		epoch := cell.epoch()
+		submit(round)
+		cell.workers[round].restart()
+		cell.awaitOwner().kill()
+		cell.workers[round+1].restart()
+		cell.awaitOwnerAbove(epoch)
+		cell.startEntry().awaitReady()
+	}
+	submit(3)
+	states := cell.awaitFates(time.Minute, ids, "Done", "NotRun", "Failed", "Unknown")
+	records := cell.history()
+	checkOnce(t, records)
+	checkNotRun(t, states, records)
+}
+
+// Guards I5: the same submission at two instances would become two jobs.
+func TestOneKeyIsOneJob(t *testing.T) {
+	cell := newCell(t, options{
+		Entries: 3,
+		Workers: 2,
+	})
+	cell.store.setStore(keeper.Faults{
+		LoseAnswers: 5,
+	})
+	var ids []descriptor.JobID
+	for i := range 10 {
+		job := once(batch(fmt.Sprintf("note-%d", i), 1, cores(1), 50*time.Millisecond))
+		accepted := make([]descriptor.JobID, 3)
+		var group sync.WaitGroup
+		for index, entry := range cell.live() {
+			group.Go(func() {
+				await(t, recoveryLimit, "submission", func() error {
+					status, _, err := entry.client().Submit(context.Background(), job)
+					accepted[index] = status.ID
+					return err
+				})
+			})
+		}
+		group.Wait()
+		if accepted[0] != accepted[1] || accepted[1] != accepted[2] {
+			t.Errorf("key %s became the jobs %v", job.Key, accepted)
+		}
+		ids = append(ids, accepted[0])
+	}
+	other := once(batch("note-0", 2, cores(1), time.Second))
+	_, _, err := cell.client().Submit(context.Background(), other)
+	var problem *descriptor.Problem
+	if !errors.As(err, &problem) || problem.Code != descriptor.CodeKeyConflict {
+		t.Errorf("another job under a known key: %v", err)
+	}
+	cell.awaitFates(recoveryLimit, ids, "Done")
+	records := cell.history()
+	checkOnce(t, records)
+	if len(records) != len(ids) {
+		t.Errorf("%d starts of %d jobs", len(records), len(ids))
+	}
+}
+
+// Guards the true fates of a wave of cancellations: cancelled work would run, or keep its room.
+func TestWaveOfCancellations(t *testing.T) {
+	const jobs = 200
+	cell := newCell(t, options{
+		Entries: 2,
+		Workers: 2,
+	})
+	ids := make([]descriptor.JobID, jobs)
+	var group sync.WaitGroup
+	for caller := range 8 {
+		group.Go(func() {
+			for i := caller; i < jobs; i += 8 {
+				ids[i] = cell.submit(batch(fmt.Sprintf("fitting-%d", i), 1, cores(1), time.Minute))
+			}
+		})
+	}
+	group.Wait()
+	cell.awaitStarts(recoveryLimit, 8)
+	for caller := range 8 {
+		group.Go(func() {
+			for i := caller; i < jobs; i += 8 {
+				await(t, recoveryLimit, "cancellation", func() error {
+					_, err := cell.client().Cancel(context.Background(), ids[i])
+					return err
+				})
+			}
+		})
+	}
+	group.Wait()
+	states := cell.awaitFates(recoveryLimit, ids, "NotRun", "Failed")
+	checkNotRun(t, states, cell.history())
+	next := cell.submit(batch("urgent", 2, cores(4), 50*time.Millisecond))
+	states = append(states, cell.awaitFates(recoveryLimit, []descriptor.JobID{next}, "Done")...)
+	checkCapacity(t, cell.history(), states)
+}
+
+// Guards jobs against a worker that fails everything, which looks free all the time.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	cell := newCell(t, options{
+		Entries: 2,
+		Workers: 5,
+	})
+	broken := cell.workers[0]
+	broken.setWorker(worker.Faults{
+		FailAll: true,
+	})
+	var ids []descriptor.JobID
+	for i := range 60 {
+		ids = append(ids, cell.submit(batch(fmt.Sprintf("assay-%d", i), 1, cores(1), 200*time.Millisecond)))
+	}
+	cell.awaitFates(time.Minute, ids, "Done")
+	failures := 0
+	for _, record := range cell.history() {
+		if string(record.Worker) == broken.id {
+			failures++
+		}
+	}
+	t.Logf("%d starts on the broken worker", failures)
+	// Once the evidence is there, further work goes elsewhere without an attempt there.
+	before := failures
+	var later []descriptor.JobID
+	for i := range 20 {
+		later = append(later, cell.submit(batch(fmt.Sprintf("later-%d", i), 1, cores(1), 100*time.Millisecond)))
+	}
+	cell.awaitFates(recoveryLimit, later, "Done")
+	failures = 0
+	for _, record := range of(cell.history(), later...) {
+		if string(record.Worker) == broken.id {
+			failures++
+		}
+	}
+	if failures > 2 {
+		t.Errorf("%d of 20 jobs were tried on the broken worker after %d failures there", failures, before)
+	}
+}
