manager: take over shards whose owner does not reach the store

An owner that was cut from the store but not from its peers kept stating its shards in the exchange. The other instances therefore never tried to acquire them, and the shard placed nothing until that instance reached the store again (seen in TestOwnerCutFromStoreKeepsNoTaskAlive: no takeover within 30 s with a lease of 2 s). The claim of an owner that states that it does not reach the store no longer keeps others from asking the store, which alone knows whether the owner's lease lives. Now the takeover follows the end of the lease, and the test passes.

--- a/internal/shard/manager/manager.go
+++ b/internal/shard/manager/manager.go
@@ -149,12 +149,14 @@
 	manager.balance(ctx)
 }
 
-// consider takes a shard that nobody claims, if this instance is the candidate to do so.
+// consider takes a shard that nobody claims, if this instance is the candidate to do so. The claim of
+// an owner that does not reach the store counts for nothing: only the store tells whether its lease
+// still lives, and without the store it places no work.
 func (manager *Manager) consider(ctx context.Context, now time.Time, shard Shard) {
 	if manager.isDraining() || now.Before(manager.retryAt[shard.ID]) {
 		return
 	}
-	if owner := manager.options.View.Owner(shard.ID); owner != nil && owner.GetId() != manager.options.Self {
+	if owner := manager.options.View.Owner(shard.ID); owner != nil && owner.GetId() != manager.options.Self && owner.GetStoreReachable() {
 		delete(manager.orphaned, shard.ID)
 		return
 	}
