--- a/integration/entry_test.go
+++ b/integration/entry_test.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pomelomoor/internal/client/caller"
@@ -36,6 +37,7 @@
 	announcer *lister.Announcer
 	silence   func()
 	withdraw  func()
+	paused    atomic.Bool
 
 	mutex   sync.Mutex
 	workers map[string]*link
@@ -103,6 +105,17 @@
 	entry.t.Cleanup(entry.silence)
 }
 
+// pause stops the process until resume; callers that go through a balancer do not meet it meanwhile.
+func (entry *entry) pause() {
+	entry.paused.Store(true)
+	entry.process.pause()
+}
+
+func (entry *entry) resume() {
+	entry.process.resume()
+	entry.paused.Store(false)
+}
+
 // kill ends the process and its heartbeat, as when the instance fails.
 func (entry *entry) kill() {
 	entry.process.kill()
@@ -183,11 +196,13 @@
 	return client
 }
 
-// client calls all live instances in turn.
+// client calls all live instances that are not paused in turn.
 func (cell *cell) client() *caller.Client {
 	var servers []string
 	for _, entry := range cell.live() {
-		servers = append(servers, entry.http.String())
+		if !entry.paused.Load() {
+			servers = append(servers, entry.http.String())
+		}
 	}
 	return &caller.Client{
 		Servers: servers,
@@ -204,6 +219,9 @@
 
 // view returns the instances that this one knows, and nothing when it does not answer.
 func (entry *entry) view() []presenter.Instance {
+	if entry.paused.Load() {
+		return nil
+	}
 	client := entry.once()
 	client.Timeout = time.Second
 	instances, err := client.Instances(context.Background())
