--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -16,6 +16,7 @@
 	// startLimit has room for a busy machine.
 	startLimit = 30 * time.Second
 	pollPause  = 20 * time.Millisecond
+	killSignal = syscall.SIGKILL
 	// logTail is how much of a process's log a failed test shows.
 	logTail = 6 << 10
 )
