client/caller: report the most uncertain outcome; await answers past the deadline

A refusal of the last attempt hid an earlier attempt that may have run, so a call could be told NotRun although it ran. A retry after the deadline sent a negative timeout, which was refused as invalid. The client also ended its wait exactly at the deadline, at the moment at which an instance tells the fate.

Uncertain attempts are remembered, nothing is sent after the deadline, and an answer is awaited for one second past it. A request that got no connection by its deadline was not sent, and is reported so.

TestOutcome and TestAnswerAtDeadline fail before the change.

--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -8,9 +8,10 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +34,10 @@
 	maxWait = 10 * time.Second
 )
 
+// answerGrace is how long an answer is awaited past the deadline of a request. An entry instance tells
+// the fate up to half a second after the deadline, and a busy network or client adds to that.
+const answerGrace = time.Second
+
 // maxAnswer bounds the memory of one answer. The largest documents are configurations in a conflict.
 const maxAnswer = 8 << 20
 
@@ -52,7 +57,8 @@
 	HTTP *http.Client
 	// Attempts bounds the attempts of one call.
 	Attempts int
-	// Timeout bounds one call with all its attempts.
+	// Timeout bounds one call with all its attempts. The answer to a request with a deadline is awaited
+	// a little longer, because it tells whether the request ran.
 	Timeout time.Duration
 	// Wait waits between attempts; nil means a timer. Tests replace it.
 	Wait func(ctx context.Context, wait time.Duration) error
@@ -79,6 +85,25 @@
 	extra time.Duration
 	// deadline is told to the server as the time that is left, because clocks may differ.
 	deadline time.Time
+	// reads means that the call has no effect, so that an attempt without an outcome does not matter.
+	reads bool
+}
+
+// late reports whether the deadline will have passed after wait.
+func (call *call) late(wait time.Duration) bool {
+	return !call.deadline.IsZero() && !time.Now().Add(wait).Before(call.deadline)
+}
+
+// bound returns a context that ends when the answer to call is given up.
+func (call *call) bound(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(timeout + call.extra)
+	if call.deadline.IsZero() {
+		return context.WithDeadline(ctx, end)
+	}
+	if call.deadline.After(end) {
+		call.deadline = end
+	}
+	return context.WithDeadline(ctx, call.deadline.Add(answerGrace))
 }
 
 // answer is a complete answer of an entry instance.
@@ -109,27 +134,56 @@
 	if timeout == 0 {
 		timeout = DefaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+call.extra)
+	ctx, cancel := call.bound(ctx, timeout)
 	defer cancel()
 	attempts := client.Attempts
 	if attempts == 0 {
 		attempts = DefaultAttempts
 	}
 	first := rand.IntN(len(client.Servers))
-	for attempt := 1; ; attempt++ {
+	var outcome outcome
+	for attempt := 1; attempt <= attempts && !call.late(0); attempt++ {
 		server := client.Servers[(first+attempt)%len(client.Servers)]
 		result, err := client.attempt(ctx, server, call)
 		if err == nil {
 			return result, nil
 		}
+		outcome.add(err)
 		wait, again := pause(err, call.repetition, attempt)
-		if !again || attempt >= attempts {
-			return answer{}, err
+		if !again || attempt == attempts || call.late(wait) || client.wait(ctx, wait) != nil {
+			break
 		}
-		if client.wait(ctx, wait) != nil {
-			return answer{}, err
+	}
+	return answer{}, outcome.settle(call)
+}
+
+// outcome is what the attempts of one call have shown.
+type outcome struct {
+	last error
+	// uncertain means that an attempt may have had an effect.
+	uncertain bool
+}
+
+func (outcome *outcome) add(err error) {
+	outcome.last = err
+	var problem *descriptor.Problem
+	if errors.As(err, &problem) && problem.Code == descriptor.CodeUncertain {
+		outcome.uncertain = true
+	}
+}
+
+// settle returns the error of the call as a whole.
+func (outcome *outcome) settle(call call) error {
+	if outcome.last == nil {
+		return descriptor.NewProblem(descriptor.CodeDeadline, 0, "the deadline passed before the request was sent")
+	}
+	var problem *descriptor.Problem
+	if outcome.uncertain && !call.reads && errors.As(outcome.last, &problem) {
+		if whole := presenter.AfterUncertain(problem); whole != problem {
+			return whole
 		}
 	}
+	return outcome.last
 }
 
 func (client *Client) wait(ctx context.Context, wait time.Duration) error {
@@ -156,36 +210,38 @@
 
 // attempt sends call once.
 func (client *Client) attempt(ctx context.Context, server string, call call) (answer, error) {
-	if !strings.Contains(server, "://") {
-		server = "http://" + server
+	var connected atomic.Bool
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			connected.Store(true)
+		},
+	}))
+	defer cancel()
+	if !call.deadline.IsZero() {
+		// Only a request that was sent has an answer to await past the deadline.
+		timer := time.AfterFunc(time.Until(call.deadline), func() {
+			if !connected.Load() {
+				cancel()
+			}
+		})
+		defer timer.Stop()
 	}
-	request, err := http.NewRequestWithContext(ctx, call.method, strings.TrimSuffix(server, "/")+call.path, bytes.NewReader(call.body))
+	request, err := call.request(ctx, server)
 	if err != nil {
 		return answer{}, descriptor.NewProblem(descriptor.CodeInvalid, 0, "%s", err)
 	}
-	for name, values := range call.header {
-		request.Header[name] = values
-	}
-	if !call.deadline.IsZero() {
-		left := min(time.Until(call.deadline), presenter.MaxTimeout)
-		request.Header.Set(presenter.HeaderTimeout, left.String())
-	}
-	if call.body != nil {
-		request.Header.Set("Content-Type", "application/json")
-	}
-	tracer.Inject(ctx, request.Header)
 	agent := client.HTTP
 	if agent == nil {
 		agent = plain
 	}
 	response, err := agent.Do(request)
 	if err != nil {
-		return answer{}, broken(call, err)
+		return answer{}, broken(call, connected.Load(), err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
-		return answer{}, broken(call, err)
+		return answer{}, broken(call, true, err)
 	}
 	if len(body) > maxAnswer {
 		return answer{}, descriptor.NewProblem(descriptor.CodeInternal, 0, "the answer is larger than %d bytes", maxAnswer)
@@ -198,10 +254,33 @@
 	return result, result.problem(call)
 }
 
-// broken returns the problem of a call without a complete answer.
-func broken(call call, err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" || call.method == http.MethodGet {
+// request returns the HTTP request of one attempt.
+func (call *call) request(ctx context.Context, server string) (*http.Request, error) {
+	if !strings.Contains(server, "://") {
+		server = "http://" + server
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, strings.TrimSuffix(server, "/")+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range call.header {
+		request.Header[name] = values
+	}
+	if !call.deadline.IsZero() {
+		// The deadline may pass at this moment; the server then refuses without a fault of the call.
+		left := max(min(time.Until(call.deadline), presenter.MaxTimeout), time.Nanosecond)
+		request.Header.Set(presenter.HeaderTimeout, left.String())
+	}
+	if call.body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	tracer.Inject(ctx, request.Header)
+	return request, nil
+}
+
+// broken returns the problem of a call without a complete answer. Without a connection nothing was sent.
+func broken(call call, connected bool, err error) error {
+	if !connected || call.reads {
 		return descriptor.NewProblem(descriptor.CodeUnavailable, 0, "%s", err)
 	}
 	return descriptor.NewProblem(descriptor.CodeUncertain, 0, "the answer did not arrive: %s", err)
@@ -220,7 +299,7 @@
 		return nil
 	case answer.status >= http.StatusOK && answer.status < http.StatusMultipleChoices:
 		return nil
-	case call.method == http.MethodGet:
+	case call.reads:
 		return descriptor.NewProblem(descriptor.CodeUnavailable, 0, "something between answered with status %d", answer.status)
 	default:
 		return descriptor.NewProblem(descriptor.CodeUncertain, 0, "something between answered with status %d", answer.status)
--- a/internal/client/caller/caller_test.go
+++ b/internal/client/caller/caller_test.go
@@ -131,6 +131,114 @@
 	}
 }
 
+// TestOutcome guards against a fate NotRun of a call of which an earlier attempt may have run (I4),
+// and against attempts after the deadline.
+func TestOutcome(t *testing.T) {
+	const answered = "answered"
+	for _, test := range []struct {
+		name string
+		// left is the time to the deadline; 0 means none.
+		left  time.Duration
+		codes []descriptor.Code
+		want  descriptor.Code
+		// sent is the number of attempts.
+		sent int
+	}{
+		{"refused at last", 0, []descriptor.Code{"Uncertain", "Unavailable", "Overloaded", "Draining"}, "Uncertain", 4},
+		{"refused for good", 0, []descriptor.Code{"Uncertain", "NotFound"}, "Uncertain", 2},
+		{"key of another job", 0, []descriptor.Code{"Uncertain", "KeyConflict"}, "KeyConflict", 2},
+		{"answered at last", 0, []descriptor.Code{"Uncertain", answered}, "", 2},
+		{"failed at last", 0, []descriptor.Code{"Overloaded", "UpstreamFailed"}, "UpstreamFailed", 2},
+		{"wait past the deadline", time.Minute, []descriptor.Code{"Overloaded"}, "Overloaded", 1},
+		{"uncertain and no time", time.Minute, []descriptor.Code{"Uncertain", "Overloaded"}, "Uncertain", 2},
+		{"sent too late", -time.Second, nil, "DeadlineExceeded", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var sent atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				attempt := int(sent.Add(1))
+				if attempt > len(test.codes) {
+					t.Errorf("attempt %d is too many", attempt)
+					return
+				}
+				if code := test.codes[attempt-1]; code != answered {
+					writer.Header().Set(presenter.HeaderCode, string(code))
+					wait := "0s"
+					if code == descriptor.CodeOverloaded && test.left != 0 {
+						wait = "61s"
+					}
+					_, _ = writer.Write([]byte(`{"Code": "` + string(code) + `", "RetryAfter": "` + wait + `"}`))
+					return
+				}
+				writer.Header().Set(presenter.HeaderFate, "Done")
+			}))
+			defer server.Close()
+			client := &Client{
+				Servers: []string{server.URL},
+				Wait:    func(context.Context, time.Duration) error { return nil },
+			}
+			request := presenter.Request{
+				Service:    "a",
+				Idempotent: true,
+			}
+			if test.left != 0 {
+				request.Deadline = time.Now().Add(test.left)
+			}
+			_, _, err := client.Request(context.Background(), request)
+			var problem *descriptor.Problem
+			if test.want == "" && err != nil || test.want != "" && (!errors.As(err, &problem) || problem.Code != test.want) {
+				t.Errorf("got %v", err)
+			}
+			if int(sent.Load()) != test.sent {
+				t.Errorf("made %d attempts, want %d", sent.Load(), test.sent)
+			}
+		})
+	}
+}
+
+// TestAnswerAtDeadline guards against clients that give up at the moment at which an entry instance
+// tells the fate, and against an unknown fate of requests that never got a connection.
+func TestAnswerAtDeadline(t *testing.T) {
+	arrived := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		close(arrived)
+		left, _ := time.ParseDuration(request.Header.Get(presenter.HeaderTimeout))
+		<-time.After(left)
+		writer.Header().Set(presenter.HeaderCode, string(descriptor.CodeDeadline))
+		writer.WriteHeader(http.StatusGatewayTimeout)
+		_, _ = writer.Write([]byte(`{"Code": "DeadlineExceeded"}`))
+	}))
+	defer server.Close()
+	client := &Client{
+		Servers:  []string{server.URL},
+		Attempts: 1,
+		HTTP:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}},
+	}
+	code := func(left time.Duration) descriptor.Code {
+		_, _, err := client.Request(context.Background(), presenter.Request{
+			Service:  "a",
+			Deadline: time.Now().Add(left),
+		})
+		var problem *descriptor.Problem
+		if !errors.As(err, &problem) {
+			t.Errorf("got %v", err)
+			return ""
+		}
+		return problem.Code
+	}
+	first := make(chan descriptor.Code)
+	go func() {
+		first <- code(300 * time.Millisecond)
+	}()
+	<-arrived
+	if got := code(time.Millisecond); got != descriptor.CodeUnavailable {
+		t.Errorf("the request without a connection got %s", got)
+	}
+	if got := <-first; got != descriptor.CodeDeadline {
+		t.Errorf("the request answered at its deadline got %s", got)
+	}
+}
+
 // FuzzAnswer guards against panics on answers that come from something else than an entry instance.
 func FuzzAnswer(f *testing.F) {
 	f.Add("Conflict", 409, []byte(`{"Code": "Conflict", "Current": {"Revision": 7, "Document": {"Teams": null}}, "Changes": [{}]}`))
--- a/internal/client/caller/calls.go
+++ b/internal/client/caller/calls.go
@@ -52,6 +52,7 @@
 		method:     http.MethodGet,
 		path:       path,
 		repetition: always,
+		reads:      true,
 	}
 }
 
@@ -66,7 +67,8 @@
 }
 
 // Request carries out an interactive request and returns the upstream's answer with the request ID.
-// Request.ID is not used. The request is repeated after an uncertain outcome only when it is idempotent.
+// Request.ID is not used. The request is repeated after an uncertain outcome only when it is idempotent,
+// and never after its deadline. The answer is awaited for a short time past the deadline.
 func (client *Client) Request(ctx context.Context, request presenter.Request) (presenter.Response, string, error) {
 	header := http.Header{}
 	header.Set(presenter.HeaderCaller, request.Caller)
@@ -75,11 +77,6 @@
 		header.Set(presenter.HeaderIdempotent, "true")
 		repetition = always
 	}
-	if !request.Deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
-		defer cancel()
-	}
 	pairs := make([]string, 0, len(request.Labels))
 	for _, key := range slices.Sorted(maps.Keys(request.Labels)) {
 		pairs = append(pairs, key+"="+request.Labels[key])
@@ -149,6 +146,7 @@
 		path:       "/v1/config/diff",
 		body:       body,
 		repetition: always,
+		reads:      true,
 	})
 	return difference, err
 }
--- a/internal/entry/presenter/codes.go
+++ b/internal/entry/presenter/codes.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// AfterUncertain returns the problem of a call as a whole whose last attempt ended with problem, and of
+// which an earlier attempt may have had an effect. A later refusal proves nothing about that attempt,
+// except that a key bound to another description excludes this one.
+func AfterUncertain(problem *descriptor.Problem) *descriptor.Problem {
+	if !NotRun(problem.Code) || problem.Code == descriptor.CodeKeyConflict {
+		return problem
+	}
+	return descriptor.NewProblem(descriptor.CodeUncertain, problem.RetryAfter.Duration,
+		"an earlier attempt may have taken effect; the last one ended with %s: %s", problem.Code, problem.Message)
+}
+
 // Passing reports whether a code goes away by itself.
 func Passing(code descriptor.Code) bool {
 	switch code {
