entry/dispatcher: keep an open attempt open after any refusal

Only Unavailable was turned into Uncertain after an attempt that may have had an effect; Impossible, Draining and other refusals still reported that nothing was accepted. A submission whose key was bound before was refused when the target did not answer, although the earlier submission may have been accepted.

Questions have no effect, so their last answer counts.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/member/messenger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
@@ -100,12 +101,16 @@
 	var id descriptor.JobID
 	existed := false
 	// A submission can be repeated, since the key finds the same job again.
-	err = dispatcher.retry(ctx, registrar, true, func(ctx context.Context) error {
-		id, existed, err = dispatcher.submitOnce(ctx, registrar, &job, description, targets)
+	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
+		bound, before, err := dispatcher.submitOnce(ctx, registrar, &job, description, targets)
+		if id == "" {
+			// Later attempts find the binding of this one.
+			id, existed = bound, before
+		}
 		return err
 	})
 	if err != nil {
-		return descriptor.JobStatus{}, false, err
+		return descriptor.JobStatus{}, false, settle(asProblem(err), existed)
 	}
 	return descriptor.JobStatus{
 		ID:  id,
@@ -159,7 +164,7 @@
 	if err != nil {
 		return "", false, err
 	}
-	err = dispatcher.retry(ctx, target, true, func(ctx context.Context) error {
+	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
 		return dispatcher.acceptOnce(ctx, target, id, job, description, false)
 	})
 	return id, existed, err
@@ -214,7 +219,7 @@
 
 // Status returns the state of a job, with its trail of decisions if explain is set.
 func (dispatcher *Dispatcher) Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, harmless, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Status(ctx, id, explain)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Query(ctx, &peerpb.QueryRequest{
@@ -226,7 +231,7 @@
 
 // Cancel cancels a job. Cancelling twice is the same as once.
 func (dispatcher *Dispatcher) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, effective, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Cancel(ctx, id)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Cancel(ctx, &peerpb.QueryRequest{
@@ -235,7 +240,7 @@
 	})
 }
 
-func (dispatcher *Dispatcher) ask(ctx context.Context, id descriptor.JobID,
+func (dispatcher *Dispatcher) ask(ctx context.Context, effect effect, id descriptor.JobID,
 	local func(context.Context, Owner) (descriptor.JobStatus, error),
 	remote func(context.Context, peerpb.PeerClient) (*peerpb.QueryReply, error),
 ) (descriptor.JobStatus, error) {
@@ -244,7 +249,7 @@
 		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeNotFound, 0, "no job %q", id)
 	}
 	var result descriptor.JobStatus
-	err := dispatcher.retry(ctx, shard, true, func(ctx context.Context) error {
+	err := dispatcher.retry(ctx, effect, func(ctx context.Context) error {
 		if owner, ok := dispatcher.options.Local(shard); ok {
 			var err error
 			result, err = local(ctx, owner)
@@ -292,25 +297,33 @@
 	return client, nil
 }
 
+// effect tells whether an attempt whose outcome is unknown matters.
+type effect bool
+
+const (
+	harmless  effect = false
+	effective effect = true
+)
+
 // retry repeats call while the shard has no owner that answers, until the patience or ctx ends.
-func (dispatcher *Dispatcher) retry(ctx context.Context, _ descriptor.ShardID, repeatable bool, call func(context.Context) error) error {
+// All calls can be repeated.
+func (dispatcher *Dispatcher) retry(ctx context.Context, effect effect, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, dispatcher.options.Patience)
 	defer cancel()
 	uncertain := false
 	for {
-		err := call(ctx)
-		problem := asProblem(err)
+		problem := asProblem(call(ctx))
 		if problem == nil {
 			return nil
 		}
 		switch problem.Code {
 		case descriptor.CodeUncertain:
-			uncertain = true
+			uncertain = bool(effect)
 		case descriptor.CodeUnavailable:
 		default:
-			return problem
+			return settle(problem, uncertain)
 		}
-		if !repeatable || !pause(ctx) {
+		if !pause(ctx) {
 			return settle(problem, uncertain)
 		}
 	}
@@ -318,9 +331,8 @@
 
 // settle keeps an earlier open outcome from being reported as a refusal.
 func settle(problem *descriptor.Problem, uncertain bool) error {
-	if uncertain && problem.Code == descriptor.CodeUnavailable {
-		return descriptor.NewProblem(descriptor.CodeUncertain, retryAfter,
-			"the outcome of an earlier attempt is open (%s); ask again with the same key", problem.Message)
+	if uncertain {
+		return presenter.AfterUncertain(problem)
 	}
 	return problem
 }
