dispatcher: refuse submissions at once while the store is down

The dispatcher repeated every call that ended with Unavailable for its patience of 8 s, also when the shard's owner itself had answered that it cannot make work durable. During a store outage a submission therefore waited for 8 s instead of being refused at once (seen in TestStoreDownForLong: no answer within 5 s). A missing owner, which is worth waiting for, now has its own code NoOwner between instances; callers are still told Unavailable.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -283,16 +283,17 @@
 func (dispatcher *Dispatcher) client(shard descriptor.ShardID) (peerpb.PeerClient, error) {
 	location, ok := dispatcher.options.Locate(shard)
 	if !ok {
-		return nil, descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "shard %s has no owner at the moment", shard)
+		return nil, descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "shard %s has no owner at the moment", shard)
 	}
 	client, err := dispatcher.options.Client(location)
 	if err != nil {
-		return nil, descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "the owner of shard %s cannot be reached: %v", shard, err)
+		return nil, descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "the owner of shard %s cannot be reached: %v", shard, err)
 	}
 	return client, nil
 }
 
-// retry repeats call while the shard has no owner that answers, until the patience or ctx ends.
+// retry repeats call while the shard has no owner that answers, until the patience or ctx ends. An
+// owner that answers that it cannot take the work, as during an outage of the store, is believed at once.
 func (dispatcher *Dispatcher) retry(ctx context.Context, _ descriptor.ShardID, repeatable bool, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, dispatcher.options.Patience)
 	defer cancel()
@@ -306,9 +307,9 @@
 		switch problem.Code {
 		case descriptor.CodeUncertain:
 			uncertain = true
-		case descriptor.CodeUnavailable:
+		case descriptor.CodeNoOwner:
 		default:
-			return problem
+			return settle(problem, uncertain)
 		}
 		if !repeatable || !pause(ctx) {
 			return settle(problem, uncertain)
@@ -316,12 +317,17 @@
 	}
 }
 
-// settle keeps an earlier open outcome from being reported as a refusal.
+// settle keeps an earlier open outcome from being reported as a refusal, and gives a problem the code
+// that callers are told.
 func settle(problem *descriptor.Problem, uncertain bool) error {
-	if uncertain && problem.Code == descriptor.CodeUnavailable {
+	refused := problem.Code == descriptor.CodeUnavailable || problem.Code == descriptor.CodeNoOwner
+	if uncertain && refused {
 		return descriptor.NewProblem(descriptor.CodeUncertain, retryAfter,
 			"the outcome of an earlier attempt is open (%s); ask again with the same key", problem.Message)
 	}
+	if refused {
+		return descriptor.NewProblem(descriptor.CodeUnavailable, problem.RetryAfter.Duration, "%s", problem.Message)
+	}
 	return problem
 }
 
@@ -340,7 +346,7 @@
 // proves that the call had no effect.
 func transport(err error) error {
 	if messenger.NotSent(err) {
-		return descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "the owner cannot be reached: %v", err)
+		return descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "the owner cannot be reached: %v", err)
 	}
 	return descriptor.NewProblem(descriptor.CodeUncertain, retryAfter,
 		"the owner did not answer; ask again with the same key: %v", err)
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -35,7 +35,7 @@
 }
 
 func notOwner(shard string) error {
-	return descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "shard %s has moved", shard)
+	return descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "shard %s has moved", shard)
 }
 
 // ServeAccept answers a registrar that hands a job to a shard owned here.
--- a/internal/shard/driver/calls.go
+++ b/internal/shard/driver/calls.go
@@ -157,7 +157,7 @@
 }
 
 func (driver *Driver) notOwned() *descriptor.Problem {
-	return descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter,
+	return descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter,
 		"shard %s has no owner on this instance at present", driver.options.Shard)
 }
 
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -242,8 +242,11 @@
 		err := call(ctx)
 		cancel()
 		var problem *descriptor.Problem
-		if errors.As(err, &problem) && (problem.Code == descriptor.CodeUnavailable || problem.Code == descriptor.CodeUncertain) {
-			continue
+		if errors.As(err, &problem) {
+			switch problem.Code {
+			case descriptor.CodeNoOwner, descriptor.CodeUnavailable, descriptor.CodeUncertain:
+				continue
+			}
 		}
 		if err != nil {
 			bench.t.Fatal(err)
@@ -326,7 +329,7 @@
 	serviceID := bench.run(service)
 	bench.await(serviceID, "Running")
 	stop()
-	if _, err := bench.Status(ctx, id, false); code(err) != descriptor.CodeUnavailable {
+	if _, err := bench.Status(ctx, id, false); code(err) != descriptor.CodeNoOwner {
 		t.Errorf("a shard that was handed over answers %v", err)
 	}
 
--- a/internal/work/descriptor/problem.go
+++ b/internal/work/descriptor/problem.go
@@ -28,6 +28,9 @@
 	CodeOverloaded Code = "Overloaded"
 	// CodeUnavailable means that the work was not accepted; it may be sent again with the same key.
 	CodeUnavailable Code = "Unavailable"
+	// CodeNoOwner means that the work's shard has no owner at the moment. Instances tell it to each other
+	// and wait for the next owner; callers are told CodeUnavailable.
+	CodeNoOwner Code = "NoOwner"
 	// CodeUncertain means that the work may have been accepted or run; ask again with the same key.
 	CodeUncertain Code = "Uncertain"
 	// CodeDeadline means that the deadline passed before the work was run.
