--- a/integration/entry_test.go
+++ b/integration/entry_test.go
@@ -50,10 +50,11 @@
 	cell.started++
 	id := "entry-" + strconv.Itoa(cell.started)
 	cell.mutex.Unlock()
+	relay, setTarget := newRelay(cell.t)
 	entry := &entry{
 		cell:    cell,
 		id:      id,
-		peer:    newLink(cell.t, id+"-peer", cell.store.address),
+		peer:    newLink(cell.t, id+"-peer", relay),
 		store:   newLink(cell.t, id+"-store", cell.store.address),
 		workers: map[string]*link{},
 	}
@@ -68,7 +69,7 @@
 	}
 	entry.process = startProcess(cell.t, id, &banner, pomelomoor, "entry", "--settings", cell.writeSettings(settings))
 	entry.http = banner.HTTP
-	entry.peer.setUpstream(banner.Peer)
+	setTarget(banner.Peer)
 	entry.announce()
 	cell.mutex.Lock()
 	cell.entries = append(cell.entries, entry)
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	toxiproxy "github.com/Shopify/toxiproxy"
@@ -15,7 +18,6 @@
 	proxy *toxiproxy.Proxy
 }
 
-// newLink starts a proxy. Its upstream may be set later, before its first connection.
 func newLink(t testing.TB, name string, upstream netip.AddrPort) *link {
 	t.Helper()
 	proxy := toxiproxy.NewProxy()
@@ -32,20 +34,56 @@
 	}
 }
 
-func (link *link) address() netip.AddrPort {
-	return netip.MustParseAddrPort(link.proxy.Listen)
+// newRelay listens for connections that are passed on to the address given to the returned function,
+// for a proxy that has to exist before the process behind it. The proxy itself can't change its
+// upstream without giving up its port.
+func newRelay(t testing.TB) (netip.AddrPort, func(target netip.AddrPort)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	var target atomic.Pointer[netip.AddrPort]
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go pass(conn, target.Load())
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String()), func(address netip.AddrPort) {
+		target.Store(&address)
+	}
 }
 
-func (link *link) setUpstream(upstream netip.AddrPort) {
-	link.t.Helper()
-	err := link.proxy.Update(&toxiproxy.Proxy{
-		Listen:   link.proxy.Listen,
-		Upstream: upstream.String(),
-		Enabled:  true,
-	})
+// pass copies in both directions until one of them ends.
+func pass(conn net.Conn, target *netip.AddrPort) {
+	defer conn.Close()
+	if target == nil {
+		return
+	}
+	other, err := net.Dial("tcp", target.String())
 	if err != nil {
-		link.t.Fatalf("proxy %s: %v", link.proxy.Name, err)
+		return
+	}
+	defer other.Close()
+	ended := make(chan struct{}, 2)
+	for _, pair := range [][2]net.Conn{{conn, other}, {other, conn}} {
+		go func() {
+			_, _ = io.Copy(pair[0], pair[1])
+			ended <- struct{}{}
+		}()
 	}
+	<-ended
+}
+
+func (link *link) address() netip.AddrPort {
+	return netip.MustParseAddrPort(link.proxy.Listen)
 }
 
 func (link *link) add(toxic, direction string, attributes string) {
