applier: show the document of the revision that a conflict names

Apply read the store and then asked for the revision in force. Revision and document are now taken together.

--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -174,12 +174,14 @@
 		return 0, err
 	}
 	// The instance may know a newer revision than a stale answer of the store has.
-	newest := max(value.Revision, applier.Current().Revision)
-	if base != newest {
-		return 0, conflict(base, newest, value, config)
+	if revision, known := applier.Document(); revision > value.Revision {
+		value.Revision, value.Document = revision, known
+	}
+	if base != value.Revision {
+		return 0, conflict(base, value, config)
 	}
 	next := stored{
-		Revision: newest + 1,
+		Revision: value.Revision + 1,
 		WriteID:  uuid.NewString(),
 		Document: document,
 	}
@@ -229,12 +231,12 @@
 	return entry, value, nil
 }
 
-func conflict(base, revision uint64, value stored, proposed parser.Config) error {
+func conflict(base uint64, value stored, proposed parser.Config) error {
 	// The current side stays empty when the store's document cannot be read any more.
 	current, _ := parser.Parse(value.Document)
 	return &Conflict{
 		Base:     base,
-		Revision: revision,
+		Revision: value.Revision,
 		Current:  current,
 		Proposed: proposed,
 	}
@@ -288,6 +290,6 @@
 	case uncertain && value.Revision > next.Revision:
 		return uncertainProblem(next.Revision)
 	default:
-		return conflict(next.Revision-1, value.Revision, value, config)
+		return conflict(next.Revision-1, value, config)
 	}
 }
