--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -219,7 +219,7 @@
 		cell.checkConfig(revision, names[winner])
 		if conflict.Current.Revision != revision || conflict.Current.Document.Policies[0].Name != names[winner] ||
 			conflict.Proposed.Policies[0].Name != names[1-winner] {
-			t.Errorf("round %d: the conflict does not show both sides: %+v", round, conflict)
+			t.Errorf("round %d: %+v does not show both sides at revision %d", round, *conflict, revision)
 		}
 	}
 	watch.stop()
