--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -288,11 +288,11 @@
 func (dispatcher *Dispatcher) client(shard descriptor.ShardID) (peerpb.PeerClient, error) {
 	location, ok := dispatcher.options.Locate(shard)
 	if !ok {
-		return nil, descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "shard %s has no owner at the moment", shard)
+		return nil, descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "shard %s has no owner at the moment", shard)
 	}
 	client, err := dispatcher.options.Client(location)
 	if err != nil {
-		return nil, descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "the owner of shard %s cannot be reached: %v", shard, err)
+		return nil, descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "the owner of shard %s cannot be reached: %v", shard, err)
 	}
 	return client, nil
 }
@@ -305,7 +305,8 @@
 	effective effect = true
 )
 
-// retry repeats call while the shard has no owner that answers, until the patience or ctx ends.
+// retry repeats call while the shard has no owner that answers, until the patience or ctx ends. An
+// owner that answers that it cannot take the work, as during an outage of the store, is believed at once.
 // All calls can be repeated.
 func (dispatcher *Dispatcher) retry(ctx context.Context, effect effect, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, dispatcher.options.Patience)
@@ -319,7 +320,7 @@
 		switch problem.Code {
 		case descriptor.CodeUncertain:
 			uncertain = bool(effect)
-		case descriptor.CodeUnavailable:
+		case descriptor.CodeNoOwner:
 		default:
 			return settle(problem, uncertain)
 		}
@@ -329,8 +330,12 @@
 	}
 }
 
-// settle keeps an earlier open outcome from being reported as a refusal.
+// settle keeps an earlier open outcome from being reported as a refusal, and gives a problem the code
+// that callers are told.
 func settle(problem *descriptor.Problem, uncertain bool) error {
+	if problem.Code == descriptor.CodeNoOwner {
+		problem = descriptor.NewProblem(descriptor.CodeUnavailable, problem.RetryAfter.Duration, "%s", problem.Message)
+	}
 	if uncertain {
 		return presenter.AfterUncertain(problem)
 	}
@@ -352,7 +357,7 @@
 // proves that the call had no effect.
 func transport(err error) error {
 	if messenger.NotSent(err) {
-		return descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "the owner cannot be reached: %v", err)
+		return descriptor.NewProblem(descriptor.CodeNoOwner, retryAfter, "the owner cannot be reached: %v", err)
 	}
 	return descriptor.NewProblem(descriptor.CodeUncertain, retryAfter,
 		"the owner did not answer; ask again with the same key: %v", err)
