--- a/internal/shard/controller/status.go
+++ b/internal/shard/arbiter/status.go
@@ -1,4 +1,4 @@
-package controller
+package arbiter
 
 import (
 	"slices"
@@ -8,25 +8,17 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
-// Status returns what the caller of a job may know: nothing that is not durable.
-func (controller *Controller) Status(id descriptor.JobID, explain bool) (descriptor.JobStatus, *descriptor.Problem) {
-	durable, ok := controller.durable.Jobs[id]
-	live := controller.jobs[id]
-	switch {
-	case !controller.loaded || controller.authority == AuthorityNone:
-		return descriptor.JobStatus{}, controller.unavailable()
-	case !ok || live == nil:
-		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeNotFound, 0, "job %s is not known", id)
-	}
+// Status returns what the caller of the job may know: nothing that is not durable.
+func (job *Job) Status(durable *recorder.Job, explain bool) descriptor.JobStatus {
 	status := descriptor.JobStatus{
-		ID:       id,
+		ID:       job.ID,
 		Job:      durable.Description,
 		Accepted: durable.Accepted,
 		Fate:     durable.End,
 	}
 	fates := make([]descriptor.Fate, len(durable.Tasks))
 	for i := range durable.Tasks {
-		fates[i] = live.taskFate(i, durable)
+		fates[i] = job.taskFate(i, durable)
 		status.Tasks = append(status.Tasks, descriptor.TaskStatus{
 			Task:    i,
 			Attempt: durable.Tasks[i].Run.Attempt,
@@ -35,59 +27,59 @@
 		})
 	}
 	if !durable.Ended() {
-		status.Fate = descriptor.Record(live.fate(fates))
+		status.Fate = descriptor.Record(job.present(fates))
 	}
 	if explain {
-		status.Trail = slices.Clone(live.trail)
+		status.Trail = slices.Clone(job.Trail)
 	}
-	return status, nil
+	return status
 }
 
 // taskFate returns a final fate only when it follows from durable records.
-func (job *job) taskFate(index int, record *recorder.Job) descriptor.Fate {
-	task := &job.tasks[index]
+func (job *Job) taskFate(index int, record *recorder.Job) descriptor.Fate {
+	task := &job.Tasks[index]
 	durable, ended := &record.Tasks[index], record.Ended()
 	closed := ended || !record.Cancelled.IsZero() && !durable.Open()
-	known := durable.Run.Outcome != "" && durable.Run.Attempt == job.work.Attempts[index]
+	known := durable.Run.Outcome != "" && durable.Run.Attempt == job.Work.Attempts[index]
 	switch {
-	case task.state == taskDone && known:
+	case task.State == TaskDone && known:
 		return descriptor.Done{
 			At: durable.Run.Ended,
 		}
-	case task.state == taskFailed && (known || closed):
+	case task.State == TaskFailed && (known || closed):
 		return descriptor.Failed{
 			At:     durable.Run.Ended,
-			Reason: task.reason,
+			Reason: task.Reason,
 		}
-	case task.state == taskUnknown && known:
+	case task.State == TaskUnknown && known:
 		return descriptor.Unknown{
-			Reason: task.reason + "; ask again, the fate becomes final when worker " + string(task.worker) + " reports",
+			Reason: task.Reason + "; ask again, the fate becomes final when worker " + string(task.Worker) + " reports",
 		}
-	case task.state == taskNotRun && closed:
+	case task.State == TaskNotRun && closed:
 		return descriptor.NotRun{
-			Reason: task.reason,
+			Reason: task.Reason,
 		}
-	case task.run != nil && task.run.phase == phaseRunning:
+	case task.Run != nil && task.Run.Phase == PhaseRunning:
 		return descriptor.Running{
-			Since: task.run.since,
+			Since: task.Run.Since,
 		}
-	case task.run != nil:
+	case task.Run != nil:
 		return descriptor.Pending{
-			Reason: "waiting for worker " + string(task.worker),
+			Reason: "waiting for worker " + string(task.Worker),
 		}
-	case task.state == taskNotRun:
+	case task.State == TaskNotRun:
 		return descriptor.Pending{
-			Reason: task.reason,
+			Reason: task.Reason,
 		}
 	default:
 		return descriptor.Pending{
-			Reason: job.reason,
+			Reason: job.Reason,
 		}
 	}
 }
 
-// fate sums up the tasks of a job that has not ended.
-func (job *job) fate(fates []descriptor.Fate) descriptor.Fate {
+// present sums up the tasks of a job that has not ended.
+func (job *Job) present(fates []descriptor.Fate) descriptor.Fate {
 	var since time.Time
 	var unknown, pending descriptor.Fate
 	for _, fate := range fates {
@@ -107,7 +99,7 @@
 		return descriptor.Running{
 			Since: since,
 		}
-	case pending != nil && (unknown == nil || len(job.inState(taskWaiting))+len(job.inState(taskLive)) > 0):
+	case pending != nil && (unknown == nil || len(job.InState(TaskWaiting))+len(job.InState(TaskLive)) > 0):
 		return pending
 	case unknown != nil:
 		return unknown
--- a/internal/shard/controller/controller_test.go
+++ b/internal/shard/controller/controller_test.go
@@ -10,6 +10,7 @@
 
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/shard/registrar"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -18,7 +19,7 @@
 	world.request++
 	id := registrar.NewJobID("hof-0", &job, world.now, world.nonce)
 	world.jobs[id] = job
-	world.step(world.owner(), Accept{
+	world.step(world.owner(), signaler.Accept{
 		Request: world.request,
 		ID:      id,
 		Job:     job,
@@ -93,7 +94,7 @@
 	case "cancel":
 		if len(world.accepted) > 0 {
 			world.request++
-			world.step(owner, Cancel{
+			world.step(owner, signaler.Cancel{
 				Request: world.request,
 				ID:      rapid.SampledFrom(world.accepted).Draw(t, "job"),
 			})
@@ -105,7 +106,7 @@
 	case "old":
 		if len(world.owners) > 1 {
 			old := world.owners[len(world.owners)-2]
-			world.step(old, Tick{})
+			world.step(old, signaler.Tick{})
 			world.deliver(old, 0)
 		}
 	}
@@ -116,7 +117,7 @@
 	for _, machine := range world.workers {
 		world.lapse(machine)
 	}
-	world.step(world.owner(), Tick{})
+	world.step(world.owner(), signaler.Tick{})
 }
 
 // settle ends all faults and lets all runs finish.
@@ -150,7 +151,7 @@
 	for _, id := range world.accepted {
 		if world.jobs[id].Kind == descriptor.KindService {
 			world.request++
-			world.step(world.owner(), Cancel{
+			world.step(world.owner(), signaler.Cancel{
 				Request: world.request,
 				ID:      id,
 			})
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -13,6 +14,7 @@
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/shard/recoverer"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -31,14 +33,14 @@
 	starts   map[string]int
 	done     map[string]int
 	told     map[string]string
-	request  Request
+	request  signaler.Request
 	nonce    uint64
 }
 
 type owner struct {
 	*Controller
-	queue   []Append
-	network []Sync
+	queue   []signaler.Append
+	network []signaler.Sync
 	halted  bool
 }
 
@@ -59,7 +61,7 @@
 
 type message struct {
 	worker *machine
-	sync   Sync
+	sync   signaler.Sync
 	until  time.Time
 }
 
@@ -99,8 +101,8 @@
 	machine.forgotten = map[descriptor.RunID]bool{}
 }
 
-func (world *world) list() InstancesChanged {
-	var event InstancesChanged
+func (world *world) list() signaler.InstancesChanged {
+	var event signaler.InstancesChanged
 	for _, machine := range world.workers {
 		if !machine.unlisted {
 			event.Workers = append(event.Workers, lister.Instance{
@@ -116,8 +118,8 @@
 // takeOver starts a new owner. The last one can only renew from now on, as its lease is over.
 func (world *world) takeOver() {
 	for _, old := range world.owners {
-		world.step(old, AuthorityChanged{
-			Authority: AuthorityRenew,
+		world.step(old, signaler.AuthorityChanged{
+			Authority: signaler.AuthorityRenew,
 		})
 	}
 	world.epoch++
@@ -125,10 +127,10 @@
 		Controller: New("hof-0"),
 	}
 	world.owners = append(world.owners, fresh)
-	world.step(fresh, AuthorityChanged{
-		Authority: AuthorityAct,
+	world.step(fresh, signaler.AuthorityChanged{
+		Authority: signaler.AuthorityAct,
 	})
-	world.step(fresh, Loaded{
+	world.step(fresh, signaler.Loaded{
 		Epoch:   world.epoch,
 		Records: world.records,
 	})
@@ -139,17 +141,17 @@
 	return world.owners[len(world.owners)-1]
 }
 
-func (world *world) step(owner *owner, event Event) {
+func (world *world) step(owner *owner, event signaler.Event) {
 	if owner.halted {
 		return
 	}
 	for _, action := range owner.Step(world.now, event) {
 		switch action := action.(type) {
-		case Append:
+		case signaler.Append:
 			owner.queue = append(owner.queue, action)
-		case Sync:
+		case signaler.Sync:
 			owner.network = append(owner.network, action)
-		case Halt:
+		case signaler.Halt:
 			if owner == world.owner() {
 				world.t.Fatalf("the owner halts: %s", action.Reason)
 			}
@@ -170,7 +172,7 @@
 				world.accepted = append(world.accepted, descriptor.JobID(accepted.Job))
 			}
 		}
-		world.step(owner, Written{
+		world.step(owner, signaler.Written{
 			Token: action.Token,
 		})
 	}
@@ -182,7 +184,7 @@
 	for i, action := range owner.queue {
 		if action.Droppable {
 			owner.queue = append(owner.queue[:i:i], owner.queue[i+1:]...)
-			world.step(owner, Refused{
+			world.step(owner, signaler.Refused{
 				Token: action.Token,
 			})
 			return
@@ -211,7 +213,7 @@
 	if machine.cut {
 		fault = max(fault, 1)
 	}
-	lost := Unanswered{
+	lost := signaler.Unanswered{
 		Worker:         sync.Worker,
 		MayHaveArrived: fault != 3,
 	}
@@ -222,11 +224,11 @@
 		case fault == 2:
 			world.step(owner, lost)
 		case !ok:
-			world.step(owner, Fenced{
+			world.step(owner, signaler.Fenced{
 				Worker: sync.Worker,
 			})
 		default:
-			world.step(owner, Reported{
+			world.step(owner, signaler.Reported{
 				Worker: sync.Worker,
 				Sent:   sync.Sent,
 				Reply:  reply,
@@ -351,7 +353,9 @@
 }
 
 func sortedKeys[V any](runs map[descriptor.RunID]V) []descriptor.RunID {
-	return slices.SortedFunc(maps.Keys(runs), compareRuns)
+	return slices.SortedFunc(maps.Keys(runs), func(one, other descriptor.RunID) int {
+		return strings.Compare(one.String(), other.String())
+	})
 }
 
 func taskName(id descriptor.RunID) string {
--- a/internal/shard/controller/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -1,4 +1,4 @@
-package controller
+package dispatcher
 
 import (
 	"net/netip"
@@ -7,8 +7,10 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/allocator"
+	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/recoverer"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -29,75 +31,76 @@
 	asked    time.Time
 	// urgent asks for a message before the interval is over.
 	urgent bool
-	runs   map[descriptor.RunID]*run
+	runs   map[descriptor.RunID]*arbiter.Run
 	// ends holds the runs whose end is recorded, and whether the record is durable.
 	ends map[descriptor.RunID]bool
 	// foreign lists runs on the worker that must not be there.
 	foreign map[descriptor.RunID]struct{}
 }
 
-func (controller *Controller) worker(id descriptor.WorkerID) *worker {
-	found, ok := controller.workers[id]
+func (dispatcher *Dispatcher) worker(id descriptor.WorkerID) *worker {
+	found, ok := dispatcher.workers[id]
 	if !ok {
 		found = &worker{
 			id:   id,
-			runs: map[descriptor.RunID]*run{},
+			runs: map[descriptor.RunID]*arbiter.Run{},
 			ends: map[descriptor.RunID]bool{},
 		}
-		controller.workers[id] = found
+		dispatcher.workers[id] = found
 	}
 	return found
 }
 
 // wake asks for a message to the worker as soon as possible. While nothing but leases may be renewed,
 // the interval is enough.
-func (controller *Controller) wake(worker *worker) {
-	if controller.authority != AuthorityAct {
+func (dispatcher *Dispatcher) wake(worker *worker) {
+	if dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
-	controller.due(worker)
+	dispatcher.due(worker)
 }
 
-func (controller *Controller) due(worker *worker) {
+func (dispatcher *Dispatcher) due(worker *worker) {
 	worker.urgent = true
-	controller.woken = append(controller.woken, worker)
+	dispatcher.woken = append(dispatcher.woken, worker)
 }
 
-func (controller *Controller) setInstances(now time.Time, event InstancesChanged) {
-	controller.listed = true
-	for _, worker := range controller.workers {
+// SetInstances gives the workers that the platform lists.
+func (dispatcher *Dispatcher) SetInstances(now time.Time, event signaler.InstancesChanged) {
+	dispatcher.listed = true
+	for _, worker := range dispatcher.workers {
 		worker.listed = false
 	}
 	ids := make([]descriptor.WorkerID, 0, len(event.Workers))
 	for _, instance := range event.Workers {
-		worker := controller.worker(descriptor.WorkerID(instance.ID))
+		worker := dispatcher.worker(descriptor.WorkerID(instance.ID))
 		worker.address = instance.Address
 		worker.listed = true
 		worker.leaving = instance.State == lister.StateLeaving
 		ids = append(ids, worker.id)
-		controller.wake(worker)
+		dispatcher.wake(worker)
 	}
-	controller.recoverer.SetListed(now, ids)
-	for _, worker := range controller.sortedWorkers() {
-		controller.describe(worker)
+	dispatcher.recoverer.SetListed(now, ids)
+	for _, worker := range dispatcher.sortedWorkers() {
+		dispatcher.describe(worker)
 	}
-	controller.crowd = true
+	dispatcher.crowd = true
 }
 
 // describe tells the allocator of a worker's present state.
-func (controller *Controller) describe(worker *worker) {
+func (dispatcher *Dispatcher) describe(worker *worker) {
 	if !worker.reported {
 		return
 	}
 	description := worker.description
 	description.Closed = description.Closed || worker.leaving || !worker.listed || worker.suspect || len(worker.foreign) > 0
-	controller.allocator.SetWorker(description)
+	dispatcher.allocator.SetWorker(description)
 }
 
 // complete reports whether all listed workers have told what they can hold.
-func (controller *Controller) complete() bool {
+func (dispatcher *Dispatcher) complete() bool {
 	listed := 0
-	for _, worker := range controller.workers {
+	for _, worker := range dispatcher.workers {
 		if worker.listed {
 			listed++
 		}
@@ -105,29 +108,29 @@
 			return false
 		}
 	}
-	return controller.listed && listed > 0
+	return dispatcher.listed && listed > 0
 }
 
 // minGap bounds the rate of messages to a worker whose reports ask for another one again and again.
 const minGap = 10 * time.Millisecond
 
-// syncWorkers sends a message to each worker that is due. There is at most one in flight for each.
-func (controller *Controller) syncWorkers(now time.Time) {
-	woken := controller.woken
-	controller.woken = nil
+// Sync sends a message to each worker that is due. There is at most one in flight for each.
+func (dispatcher *Dispatcher) Sync(now time.Time) {
+	woken := dispatcher.woken
+	dispatcher.woken = nil
 	for _, worker := range woken {
 		switch {
 		case !worker.urgent || worker.inFlight || !worker.address.IsValid():
 		case now.Sub(worker.asked) < minGap:
-			controller.woken = append(controller.woken, worker)
+			dispatcher.woken = append(dispatcher.woken, worker)
 		default:
-			controller.sync(now, worker)
+			dispatcher.sync(now, worker)
 		}
 	}
 }
 
-func (controller *Controller) sync(now time.Time, worker *worker) {
-	if controller.authority == AuthorityNone {
+func (dispatcher *Dispatcher) sync(now time.Time, worker *worker) {
+	if dispatcher.authority == signaler.AuthorityNone {
 		return
 	}
 	// A worker that does not answer is asked at the interval only, whatever waits for it.
@@ -136,19 +139,19 @@
 	}
 	worker.urgent, worker.inFlight, worker.asked = false, true, now
 	request := executor.SyncRequest{
-		Shard:  controller.shard,
-		Epoch:  controller.epoch,
+		Shard:  dispatcher.shard,
+		Epoch:  dispatcher.epoch,
 		Ticket: worker.ticket,
 	}
 	// The first message only asks: the worker's state has to be known before its lease is renewed.
-	if worker.reported && !worker.suspect && controller.mayRenew(now) {
+	if worker.reported && !worker.suspect && dispatcher.mayRenew(now) {
 		request.Lease = recoverer.TaskLease
-		controller.recoverer.Sent(worker.id, now)
+		dispatcher.recoverer.Sent(worker.id, now)
 	}
-	if worker.reported && !worker.suspect && controller.authority == AuthorityAct {
-		controller.command(now, worker, &request)
+	if worker.reported && !worker.suspect && dispatcher.authority == signaler.AuthorityAct {
+		dispatcher.command(now, worker, &request)
 	}
-	controller.act(Sync{
+	dispatcher.outbox.Act(signaler.Sync{
 		Worker:  worker.id,
 		Address: worker.address,
 		Request: request,
@@ -156,26 +159,26 @@
 	})
 }
 
-func (controller *Controller) mayRenew(now time.Time) bool {
-	return controller.authority == AuthorityAct || controller.recoverer.MayRenew(now)
+func (dispatcher *Dispatcher) mayRenew(now time.Time) bool {
+	return dispatcher.authority == signaler.AuthorityAct || dispatcher.recoverer.MayRenew(now)
 }
 
 // command adds all commands for the worker to a message.
-func (controller *Controller) command(now time.Time, worker *worker, request *executor.SyncRequest) {
+func (dispatcher *Dispatcher) command(now time.Time, worker *worker, request *executor.SyncRequest) {
 	for _, run := range sortedRuns(worker.runs) {
 		switch {
-		case run.phase == phaseReady && run.incarnation != worker.incarnation:
-			controller.end(now, run, executor.RunResult{
+		case run.Phase == arbiter.PhaseReady && run.Incarnation != worker.incarnation:
+			dispatcher.end(now, run, executor.RunResult{
 				Outcome: recorder.OutcomeNotStarted,
 				Reason:  "the worker restarted before the start was sent",
 			})
-		case run.phase == phaseReady:
-			run.phase, run.sent = phaseSent, now
-			request.Start = append(request.Start, run.start())
-		case run.stop && run.phase != phaseIntending:
-			request.Stop = append(request.Stop, run.id)
-		case run.checkpoint && run.phase == phaseRunning:
-			request.Checkpoint = append(request.Checkpoint, run.id)
+		case run.Phase == arbiter.PhaseReady:
+			run.Phase, run.Sent = arbiter.PhaseSent, now
+			request.Start = append(request.Start, startOf(run))
+		case run.Stop && run.Phase != arbiter.PhaseIntending:
+			request.Stop = append(request.Stop, run.ID)
+		case run.Checkpoint && run.Phase == arbiter.PhaseRunning:
+			request.Checkpoint = append(request.Checkpoint, run.ID)
 		}
 	}
 	for id, durable := range worker.ends {
@@ -188,54 +191,56 @@
 		request.Stop = append(request.Stop, id)
 	}
 	sortRuns(request.Stop)
-	controller.flush()
+	dispatcher.outbox.Flush()
 }
 
-func (run *run) start() executor.Start {
-	description := run.job.description()
+func startOf(run *arbiter.Run) executor.Start {
+	description := run.Job.Description()
 	return executor.Start{
-		Run:        run.id,
+		Run:        run.ID,
 		Task:       description.Task,
 		Kind:       description.Kind,
 		Payload:    description.Payload,
-		Checkpoint: run.task().checkpoint,
+		Checkpoint: run.Task().Checkpoint,
 	}
 }
 
-func (controller *Controller) unanswered(now time.Time, event Unanswered) {
-	worker, ok := controller.workers[event.Worker]
+// Unanswered takes a message without an answer into account.
+func (dispatcher *Dispatcher) Unanswered(now time.Time, event signaler.Unanswered) {
+	worker, ok := dispatcher.workers[event.Worker]
 	if !ok {
 		return
 	}
 	worker.inFlight = false
 	worker.suspect = true
-	controller.recoverer.Unanswered(worker.id, event.MayHaveArrived)
-	controller.describe(worker)
+	dispatcher.recoverer.Unanswered(worker.id, event.MayHaveArrived)
+	dispatcher.describe(worker)
 	for _, run := range sortedRuns(worker.runs) {
-		if run.phase == phaseSent && run.sent.Equal(worker.asked) && !event.MayHaveArrived {
-			run.phase = phaseReady
+		if run.Phase == arbiter.PhaseSent && run.Sent.Equal(worker.asked) && !event.MayHaveArrived {
+			run.Phase = arbiter.PhaseReady
 		}
-		if run.phase == phaseReady {
-			controller.stop(now, run, "the worker does not answer")
+		if run.Phase == arbiter.PhaseReady {
+			dispatcher.stop(now, run, "the worker does not answer")
 		}
 	}
 }
 
-func (controller *Controller) reported(now time.Time, event Reported) {
+// Reported takes the report of a worker into account.
+func (dispatcher *Dispatcher) Reported(now time.Time, event signaler.Reported) {
 	if event.Reply.Worker != event.Worker {
 		// Another worker has the address now, and took the message.
-		controller.unanswered(now, Unanswered{
+		dispatcher.Unanswered(now, signaler.Unanswered{
 			Worker:         event.Worker,
 			MayHaveArrived: true,
 		})
 		return
 	}
-	worker, ok := controller.workers[event.Worker]
+	worker, ok := dispatcher.workers[event.Worker]
 	if !ok {
 		return
 	}
 	reply := event.Reply
-	controller.recoverer.Answered(now, worker.id, event.Sent)
+	dispatcher.recoverer.Answered(now, worker.id, event.Sent)
 	again := !worker.reported || worker.suspect || reply.Stale
 	opened := again || worker.incarnation != reply.Incarnation || worker.description.Capacity != reply.Capacity
 	worker.inFlight, worker.suspect, worker.reported = false, false, true
@@ -247,26 +252,26 @@
 		Capacity: reply.Capacity,
 		Closed:   reply.Leaving,
 	}
-	controller.describe(worker)
-	controller.compare(now, worker, reply)
-	controller.describe(worker)
-	controller.crowd = controller.crowd || opened
+	dispatcher.describe(worker)
+	dispatcher.compare(now, worker, reply)
+	dispatcher.describe(worker)
+	dispatcher.crowd = dispatcher.crowd || opened
 	if again || worker.urgent {
-		controller.wake(worker)
+		dispatcher.wake(worker)
 	}
 }
 
 // compare brings the runs of a worker in line with its report.
-func (controller *Controller) compare(now time.Time, worker *worker, reply executor.SyncReply) {
+func (dispatcher *Dispatcher) compare(now time.Time, worker *worker, reply executor.SyncReply) {
 	seen := make(map[descriptor.RunID]struct{}, len(reply.Running)+len(reply.Finished))
 	worker.foreign = map[descriptor.RunID]struct{}{}
 	for _, report := range reply.Running {
 		seen[report.Run] = struct{}{}
-		controller.running(now, worker, report)
+		dispatcher.running(now, worker, report)
 	}
 	for _, result := range reply.Finished {
 		seen[result.Run] = struct{}{}
-		controller.finished(now, worker, result)
+		dispatcher.finished(now, worker, result)
 	}
 	for id, durable := range worker.ends {
 		if _, ok := seen[id]; !ok && durable {
@@ -274,79 +279,79 @@
 		}
 	}
 	for _, run := range sortedRuns(worker.runs) {
-		if _, ok := seen[run.id]; !ok {
-			controller.missing(now, run)
+		if _, ok := seen[run.ID]; !ok {
+			dispatcher.missing(now, worker, run)
 		}
 	}
 }
 
-func (controller *Controller) running(now time.Time, worker *worker, report executor.RunReport) {
+func (dispatcher *Dispatcher) running(now time.Time, worker *worker, report executor.RunReport) {
 	run, ok := worker.runs[report.Run]
 	if !ok {
-		run = controller.rediscover(now, worker, report.Run)
+		run = dispatcher.rediscover(now, worker, report.Run)
 	}
 	if run == nil {
 		worker.foreign[report.Run] = struct{}{}
-		controller.wake(worker)
+		dispatcher.wake(worker)
 		return
 	}
-	if !run.reserved {
-		run.reserved = true
-		controller.allocator.Adopt(run.job.work, run.id, worker.id, report.Started)
+	if !run.Reserved {
+		run.Reserved = true
+		dispatcher.allocator.Adopt(run.Job.Work, run.ID, worker.id, report.Started)
 	}
-	if run.phase != phaseRunning {
-		run.phase, run.since = phaseRunning, report.Started
-		run.task().ran = true
-		controller.note(now, run.job, "Running", "task %d, attempt %d: running on %s", run.id.Task, run.id.Attempt, worker.id)
+	if run.Phase != arbiter.PhaseRunning {
+		run.Phase, run.Since = arbiter.PhaseRunning, report.Started
+		run.Task().Ran = true
+		dispatcher.note(now, run.Job, "Running", "task %d, attempt %d: running on %s", run.ID.Task, run.ID.Attempt, worker.id)
 	}
 	if !report.Usage.At.IsZero() {
-		controller.allocator.Observe(run.job.work, report.Usage)
+		dispatcher.allocator.Observe(run.Job.Work, report.Usage)
 	}
 }
 
 // rediscover returns the run of a task whose fate was unknown until its worker came back.
-func (controller *Controller) rediscover(now time.Time, worker *worker, id descriptor.RunID) *run {
-	job := controller.lostRun(worker, id)
+func (dispatcher *Dispatcher) rediscover(now time.Time, worker *worker, id descriptor.RunID) *arbiter.Run {
+	job := dispatcher.lostRun(worker, id)
 	if job == nil {
 		return nil
 	}
-	run := &run{
-		id:          id,
-		job:         job,
-		worker:      worker,
-		incarnation: worker.incarnation,
-		phase:       phaseUnsure,
-		stop:        job.cancelled,
+	run := &arbiter.Run{
+		ID:          id,
+		Job:         job,
+		Worker:      worker.id,
+		Incarnation: worker.incarnation,
+		Phase:       arbiter.PhaseUnsure,
+		Stop:        job.Cancelled,
 	}
-	controller.attach(run)
+	dispatcher.attach(run)
 	delete(worker.ends, id)
-	controller.note(now, job, "Found", "task %d, attempt %d: found on %s", id.Task, id.Attempt, worker.id)
+	dispatcher.note(now, job, "Found", "task %d, attempt %d: found on %s", id.Task, id.Attempt, worker.id)
 	return run
 }
 
 // lostRun returns the job of a run that counts as unknown, or nil.
-func (controller *Controller) lostRun(worker *worker, id descriptor.RunID) *job {
-	job := controller.jobs[id.Job]
-	if job == nil || id.Task < 0 || id.Task >= len(job.tasks) {
+func (dispatcher *Dispatcher) lostRun(worker *worker, id descriptor.RunID) *arbiter.Job {
+	job := dispatcher.jobs[id.Job]
+	if job == nil || id.Task < 0 || id.Task >= len(job.Tasks) {
 		return nil
 	}
-	task := &job.tasks[id.Task]
-	if task.state != taskUnknown || task.worker != worker.id || job.work.Attempts[id.Task] != id.Attempt {
+	task := &job.Tasks[id.Task]
+	if task.State != arbiter.TaskUnknown || task.Worker != worker.id || job.Work.Attempts[id.Task] != id.Attempt {
 		return nil
 	}
 	return job
 }
 
-func (controller *Controller) finished(now time.Time, worker *worker, result executor.RunResult) {
+func (dispatcher *Dispatcher) finished(now time.Time, worker *worker, result executor.RunResult) {
 	if run, ok := worker.runs[result.Run]; ok {
-		controller.end(now, run, result)
+		dispatcher.end(now, run, result)
 		return
 	}
-	if job := controller.lostRun(worker, result.Run); job != nil {
+	if job := dispatcher.lostRun(worker, result.Run); job != nil {
 		if result.Outcome == executor.OutcomeStopped && result.Started.IsZero() {
 			result.Outcome = recorder.OutcomeNotStarted
 		}
-		controller.conclude(now, job, worker, result)
+		dispatcher.conclude(now, job, worker, result)
 		return
 	}
 	if _, ok := worker.ends[result.Run]; !ok {
@@ -354,28 +359,28 @@
 		worker.ends[result.Run] = true
 	}
 	if worker.ends[result.Run] {
-		controller.wake(worker)
+		dispatcher.wake(worker)
 	}
 }
 
 // missing handles a run that the worker's report does not contain. The worker has accepted this
 // epoch, and its reply makes all earlier messages void. So a run that was not seen running never
 // started, unless the worker has lost its memory since the intent.
-func (controller *Controller) missing(now time.Time, run *run) {
+func (dispatcher *Dispatcher) missing(now time.Time, worker *worker, run *arbiter.Run) {
 	switch {
-	case run.phase == phaseIntending || run.phase == phaseReady:
-	case run.phase != phaseRunning && run.incarnation == run.worker.incarnation:
-		controller.end(now, run, executor.RunResult{
+	case run.Phase == arbiter.PhaseIntending || run.Phase == arbiter.PhaseReady:
+	case run.Phase != arbiter.PhaseRunning && run.Incarnation == worker.incarnation:
+		dispatcher.end(now, run, executor.RunResult{
 			Outcome: recorder.OutcomeNotStarted,
 			Reason:  "the worker never started it",
 		})
 	default:
-		controller.lose(now, run, "the worker does not know the run any more")
+		dispatcher.lose(now, run, "the worker does not know the run any more")
 	}
 }
 
-func (controller *Controller) lose(now time.Time, run *run, reason string) {
-	controller.end(now, run, executor.RunResult{
+func (dispatcher *Dispatcher) lose(now time.Time, run *arbiter.Run, reason string) {
+	dispatcher.end(now, run, executor.RunResult{
 		Outcome: recorder.OutcomeLost,
 		Ended:   now,
 		Reason:  reason,
--- a/internal/shard/driver/calls.go
+++ b/internal/shard/driver/calls.go
@@ -9,20 +9,21 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pomelomoor/internal/shard/controller"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
 // call is a request of the API on its way to the event loop.
 type call struct {
 	// event builds the event of a request that is answered by an action.
-	event func(request controller.Request) controller.Event
+	event func(request signaler.Request) signaler.Event
 	// query is answered at once.
 	query func(machine *controller.Controller) answer
 	reply chan answer
 }
 
 type answer struct {
-	action  controller.Action
+	action  signaler.Action
 	status  descriptor.JobStatus
 	problem *descriptor.Problem
 }
@@ -33,8 +34,8 @@
 	ctx, span := driver.start(ctx, "shard.submit")
 	defer span.End()
 	answer := driver.ask(ctx, call{
-		event: func(request controller.Request) controller.Event {
-			return controller.Bind{
+		event: func(request signaler.Request) signaler.Event {
+			return signaler.Bind{
 				Request: request,
 				Job:     job,
 				Targets: targets,
@@ -42,7 +43,7 @@
 			}
 		},
 	})
-	bound, _ := answer.action.(controller.AnswerBind)
+	bound, _ := answer.action.(signaler.AnswerBind)
 	if answer.problem == nil {
 		answer.problem = bound.Problem
 	}
@@ -57,15 +58,15 @@
 	ctx, span := driver.start(ctx, "shard.accept")
 	defer span.End()
 	answer := driver.ask(ctx, call{
-		event: func(request controller.Request) controller.Event {
-			return controller.Accept{
+		event: func(request signaler.Request) signaler.Event {
+			return signaler.Accept{
 				Request: request,
 				ID:      id,
 				Job:     job,
 			}
 		},
 	})
-	accepted, _ := answer.action.(controller.AnswerAccept)
+	accepted, _ := answer.action.(signaler.AnswerAccept)
 	if answer.problem == nil {
 		answer.problem = accepted.Problem
 	}
@@ -99,14 +100,14 @@
 	ctx, span := driver.start(ctx, "shard.cancel")
 	defer span.End()
 	answer := driver.ask(ctx, call{
-		event: func(request controller.Request) controller.Event {
-			return controller.Cancel{
+		event: func(request signaler.Request) signaler.Event {
+			return signaler.Cancel{
 				Request: request,
 				ID:      id,
 			}
 		},
 	})
-	cancelled, _ := answer.action.(controller.AnswerCancel)
+	cancelled, _ := answer.action.(signaler.AnswerCancel)
 	if answer.problem == nil {
 		answer.problem = cancelled.Problem
 	}
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -20,8 +20,8 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
-	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -51,7 +51,7 @@
 	Executor executor.Executor
 	// Authority tells what the instance's lease allows at this moment. It is called before every
 	// external effect and must be quick.
-	Authority func() controller.Authority
+	Authority func() signaler.Authority
 	// Belongs tells which workers are the shard's; nil means all workers of the shard's site.
 	Belongs func(instance lister.Instance) bool
 	// Limiter is the instance's share of the store's writes; nil means no limit.
@@ -147,7 +147,7 @@
 	driver.serving.Add(1)
 	defer driver.serving.Done()
 	for ctx.Err() == nil {
-		if driver.options.Authority() == controller.AuthorityAct {
+		if driver.options.Authority() == signaler.AuthorityAct {
 			driver.serveTerm(ctx)
 		}
 		select {
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -16,7 +16,7 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
-	"pomelomoor/internal/shard/controller"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -182,14 +182,14 @@
 
 // serve runs a driver until the returned function is called.
 func (bench *bench) serve() (stop func()) {
-	bench.authority.Store(int64(controller.AuthorityAct))
+	bench.authority.Store(int64(signaler.AuthorityAct))
 	driver, clean, err := New(Options{
 		Shard:    "hof-0",
 		Owner:    "a",
 		Store:    bench.store,
 		Executor: bench.worker,
-		Authority: func() controller.Authority {
-			return controller.Authority(bench.authority.Load())
+		Authority: func() signaler.Authority {
+			return signaler.Authority(bench.authority.Load())
 		},
 		RingSize: 40,
 	})
@@ -363,7 +363,7 @@
 	if _, _, _, err := bench.Submit(t.Context(), batch("three"), []descriptor.ShardID{"hof-0"}); code(err) != descriptor.CodeUnavailable {
 		t.Errorf("a submission during an outage: %v", err)
 	}
-	bench.authority.Store(int64(controller.AuthorityRenew))
+	bench.authority.Store(int64(signaler.AuthorityRenew))
 	for range 3 {
 		request := <-bench.worker.seen
 		if len(request.Start)+len(request.Stop)+len(request.Acknowledge) > 0 {
@@ -371,7 +371,7 @@
 		}
 	}
 	bench.store.set(false, false)
-	bench.authority.Store(int64(controller.AuthorityAct))
+	bench.authority.Store(int64(signaler.AuthorityAct))
 	bench.await(bench.run(batch("two")), "Done")
 	bench.await(bench.run(batch("three")), "Done")
 	for i := range 12 {
--- a/internal/shard/driver/flush.go
+++ b/internal/shard/driver/flush.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/shard/signaler"
 )
 
 // snapshotAt is the used part of the ring at which a snapshot is written.
@@ -16,7 +16,7 @@
 
 // queue holds what is to be written, in order.
 type queue struct {
-	appends []controller.Append
+	appends []signaler.Append
 	// partial tells that some records of the first append are durable already.
 	partial bool
 	// attempted is the number of appends that the write in progress, or one whose outcome is not
@@ -35,7 +35,7 @@
 	err     error
 }
 
-func (queue *queue) add(action controller.Append) {
+func (queue *queue) add(action signaler.Append) {
 	queue.appends = append(queue.appends, action)
 }
 
@@ -44,8 +44,8 @@
 }
 
 // drop takes out the droppable appends that no write can contain and returns their tokens.
-func (queue *queue) drop() []controller.Token {
-	var tokens []controller.Token
+func (queue *queue) drop() []signaler.Token {
+	var tokens []signaler.Token
 	kept := queue.appends[:queue.attempted:queue.attempted]
 	for _, action := range queue.appends[queue.attempted:] {
 		if action.Droppable {
@@ -59,8 +59,8 @@
 }
 
 // take removes written records from the front and returns the tokens that are complete.
-func (queue *queue) take(written int) []controller.Token {
-	var tokens []controller.Token
+func (queue *queue) take(written int) []signaler.Token {
+	var tokens []signaler.Token
 	for len(queue.appends) > 0 && written >= len(queue.appends[0].Records) {
 		written -= len(queue.appends[0].Records)
 		tokens = append(tokens, queue.appends[0].Token)
@@ -103,7 +103,7 @@
 		term.timer.Reset(wait)
 		return
 	}
-	if term.driver.options.Authority() != controller.AuthorityAct {
+	if term.driver.options.Authority() != signaler.AuthorityAct {
 		return
 	}
 	if limiter := term.driver.options.Limiter; limiter != nil && !limiter.AllowN(now, 1) {
@@ -155,7 +155,7 @@
 	case result.err == nil:
 		queue.undecided, queue.attempted, queue.failedUntil = false, 0, time.Time{}
 		for _, token := range queue.take(result.written) {
-			term.step(ctx, controller.Written{
+			term.step(ctx, signaler.Written{
 				Token: token,
 			})
 		}
@@ -183,7 +183,7 @@
 		"Shard", term.driver.options.Shard, "Error", err)
 	term.queue.failedUntil = now.Add(retryPause)
 	for _, token := range term.queue.drop() {
-		term.step(ctx, controller.Refused{
+		term.step(ctx, signaler.Refused{
 			Token: token,
 		})
 	}
@@ -196,7 +196,7 @@
 	if queue.snapshot || queue.flushing || queue.undecided || queue.partial || term.over != "" {
 		return
 	}
-	if term.journal.Used() < snapshotAt || term.driver.options.Authority() != controller.AuthorityAct {
+	if term.journal.Used() < snapshotAt || term.driver.options.Authority() != signaler.AuthorityAct {
 		return
 	}
 	queue.snapshot = true
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -11,6 +11,7 @@
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -22,7 +23,7 @@
 	records []*recordpb.Record
 
 	calls   chan call
-	events  chan controller.Event
+	events  chan signaler.Event
 	flushed chan flushResult
 	// snapshotted carries the result of a snapshot.
 	snapshotted chan error
@@ -31,9 +32,9 @@
 	closed chan struct{}
 	work   sync.WaitGroup
 
-	authority controller.Authority
-	waiters   map[controller.Request]chan answer
-	request   controller.Request
+	authority signaler.Authority
+	waiters   map[signaler.Request]chan answer
+	request   signaler.Request
 	queue     queue
 	timer     *time.Timer
 	loadedAt  time.Time
@@ -48,12 +49,12 @@
 		machine:     controller.New(driver.options.Shard),
 		records:     records,
 		calls:       make(chan call),
-		events:      make(chan controller.Event),
+		events:      make(chan signaler.Event),
 		flushed:     make(chan flushResult, 1),
 		snapshotted: make(chan error, 1),
 		changed:     make(chan struct{}, 1),
 		closed:      make(chan struct{}),
-		waiters:     map[controller.Request]chan answer{},
+		waiters:     map[signaler.Request]chan answer{},
 		timer:       time.NewTimer(time.Hour),
 	}
 }
@@ -67,7 +68,7 @@
 	defer term.timer.Stop()
 	term.checkAuthority(workCtx)
 	term.applySettings(workCtx)
-	term.step(workCtx, controller.Loaded{
+	term.step(workCtx, signaler.Loaded{
 		Epoch:   term.journal.Epoch(),
 		Records: term.records,
 	})
@@ -121,7 +122,7 @@
 
 func (term *term) tick(ctx context.Context) {
 	term.checkAuthority(ctx)
-	term.step(ctx, controller.Tick{})
+	term.step(ctx, signaler.Tick{})
 	term.flush(ctx)
 	if now := term.driver.options.Now(); now.Sub(term.loadedAt) >= loadInterval {
 		term.publish()
@@ -150,21 +151,21 @@
 		return
 	}
 	term.authority = authority
-	term.step(ctx, controller.AuthorityChanged{
+	term.step(ctx, signaler.AuthorityChanged{
 		Authority: authority,
 	})
-	if authority == controller.AuthorityNone {
+	if authority == signaler.AuthorityNone {
 		term.end("the instance does not own the shard any more")
 	}
 }
 
 func (term *term) applySettings(ctx context.Context) {
 	config, workers, listed := term.driver.settings()
-	term.step(ctx, controller.ConfigChanged{
+	term.step(ctx, signaler.ConfigChanged{
 		Config: config,
 	})
 	if listed {
-		term.step(ctx, controller.InstancesChanged{
+		term.step(ctx, signaler.InstancesChanged{
 			Workers: workers,
 		})
 	}
@@ -179,7 +180,7 @@
 	term.request++
 	term.waiters[term.request] = call.reply
 	event := call.event(term.request)
-	if _, ok := event.(controller.Cancel); ok && term.queue.down(term.driver.options.Now()) {
+	if _, ok := event.(signaler.Cancel); ok && term.queue.down(term.driver.options.Now()) {
 		term.answer(term.request, answer{
 			problem: descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter,
 				"the journal of shard %s is unavailable; the job was not cancelled", term.driver.options.Shard),
@@ -189,7 +190,7 @@
 	term.step(ctx, event)
 }
 
-func (term *term) answer(request controller.Request, answer answer) {
+func (term *term) answer(request signaler.Request, answer answer) {
 	reply, ok := term.waiters[request]
 	if !ok {
 		return
@@ -208,8 +209,8 @@
 }
 
 // step lets the controller handle an event and carries out its actions.
-func (term *term) step(ctx context.Context, event controller.Event) {
-	pending := []controller.Event{event}
+func (term *term) step(ctx context.Context, event signaler.Event) {
+	pending := []signaler.Event{event}
 	for len(pending) > 0 && term.over == "" {
 		begin := time.Now()
 		actions := term.machine.Step(term.driver.options.Now(), pending[0])
@@ -224,44 +225,44 @@
 }
 
 // perform carries out one action and returns an event that it leads to at once, or nil.
-func (term *term) perform(ctx context.Context, action controller.Action) controller.Event {
+func (term *term) perform(ctx context.Context, action signaler.Action) signaler.Event {
 	switch action := action.(type) {
-	case controller.Append:
+	case signaler.Append:
 		if action.Droppable && term.queue.down(term.driver.options.Now()) {
-			return controller.Refused{
+			return signaler.Refused{
 				Token: action.Token,
 			}
 		}
 		term.queue.add(action)
 		term.schedule()
-	case controller.Sync:
+	case signaler.Sync:
 		term.work.Add(1)
 		go term.sync(ctx, action)
-	case controller.AnswerBind:
+	case signaler.AnswerBind:
 		term.answer(action.Request, answer{
 			action: action,
 		})
-	case controller.AnswerAccept:
+	case signaler.AnswerAccept:
 		term.answer(action.Request, answer{
 			action: action,
 		})
-	case controller.AnswerCancel:
+	case signaler.AnswerCancel:
 		term.answer(action.Request, answer{
 			action: action,
 		})
-	case controller.Explain:
+	case signaler.Explain:
 		term.driver.options.Logger.DebugContext(ctx, "decision about a job", "Event", eventDecision,
 			"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
-	case controller.Halt:
+	case signaler.Halt:
 		term.end(action.Reason)
 	}
 	return nil
 }
 
 // sync sends a message to a worker and brings its answer to the event loop.
-func (term *term) sync(ctx context.Context, action controller.Sync) {
+func (term *term) sync(ctx context.Context, action signaler.Sync) {
 	defer term.work.Done()
-	var event controller.Event = controller.Unanswered{
+	var event signaler.Event = signaler.Unanswered{
 		Worker: action.Worker,
 	}
 	select {
@@ -278,7 +279,7 @@
 }
 
 // call checks the lease, sends the message and translates the answer.
-func (term *term) call(ctx context.Context, action controller.Sync) controller.Event {
+func (term *term) call(ctx context.Context, action signaler.Sync) signaler.Event {
 	driver := term.driver
 	ctx, span := driver.start(ctx, "worker.sync")
 	defer span.End()
@@ -289,7 +290,7 @@
 	}
 	driver.metrics.syncs.Inc(1)
 	if !allowed(driver.options.Authority(), request) {
-		return controller.Unanswered{
+		return signaler.Unanswered{
 			Worker: action.Worker,
 		}
 	}
@@ -298,31 +299,31 @@
 	reply, err := driver.options.Executor.Sync(ctx, action.Address, request)
 	switch {
 	case err == nil:
-		return controller.Reported{
+		return signaler.Reported{
 			Worker: action.Worker,
 			Sent:   action.Sent,
 			Reply:  reply,
 		}
 	case errors.Is(err, executor.ErrFenced):
-		return controller.Fenced{
+		return signaler.Fenced{
 			Worker: action.Worker,
 		}
 	}
 	span.RecordError(err)
 	driver.metrics.silent.Inc(1)
 	driver.options.Logger.DebugContext(ctx, "worker did not answer", "Event", eventWorkerSilent, "Worker", action.Worker, "Error", err)
-	return controller.Unanswered{
+	return signaler.Unanswered{
 		Worker:         action.Worker,
 		MayHaveArrived: !errors.Is(err, executor.ErrUnreachable),
 	}
 }
 
 // allowed reports whether a message may be sent under the authority of this moment.
-func allowed(authority controller.Authority, request executor.SyncRequest) bool {
+func allowed(authority signaler.Authority, request executor.SyncRequest) bool {
 	switch authority {
-	case controller.AuthorityAct:
+	case signaler.AuthorityAct:
 		return true
-	case controller.AuthorityRenew:
+	case signaler.AuthorityRenew:
 		commands := len(request.Start) + len(request.Stop) + len(request.Checkpoint) + len(request.Throttle) + len(request.Acknowledge)
 		return commands == 0
 	default:
--- a/internal/shard/controller/events.go
+++ b/internal/shard/signaler/events.go
@@ -1,4 +1,6 @@
-package controller
+// Package signaler holds the events and actions of a shard's state machine, and the outbox that
+// collects actions and runs effects when their records are durable.
+package signaler
 
 import (
 	"net/netip"
