--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -130,11 +130,14 @@
 	world.step(fresh, signaler.AuthorityChanged{
 		Authority: signaler.AuthorityAct,
 	})
+	world.step(fresh, world.list())
+	if len(fresh.network) > 0 {
+		world.t.Fatalf("a message without an epoch: %v", fresh.network)
+	}
 	world.step(fresh, signaler.Loaded{
 		Epoch:   world.epoch,
 		Records: world.records,
 	})
-	world.step(fresh, world.list())
 }
 
 func (world *world) owner() *owner {
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -116,6 +116,10 @@
 
 // Sync sends a message to each worker that is due. There is at most one in flight for each.
 func (dispatcher *Dispatcher) Sync(now time.Time) {
+	if !dispatcher.loaded {
+		// The epoch is not known yet.
+		return
+	}
 	woken := dispatcher.woken
 	dispatcher.woken = nil
 	for _, worker := range woken {
