--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -4,11 +4,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/shard/allocator"
-	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -144,21 +143,6 @@
 	return &run.Job.Tasks[run.ID.Task]
 }
 
-// Apply changes the state of a task by the outcome of its run.
-func (job *Job) Apply(index int, result executor.RunResult) {
-	task := &job.Tasks[index]
-	task.Ran = task.Ran || recorder.Started(result.Outcome)
-	task.Reason = fmt.Sprintf("%s on %s", result.Outcome, task.Worker)
-	if result.Reason != "" {
-		task.Reason = result.Reason
-	}
-	if result.Outcome == executor.OutcomeCheckpointed {
-		task.Checkpoint = result.Checkpoint
-	}
-	task.State = job.next(task, result.Outcome)
-	task.Lost = task.Lost || task.State == TaskUnknown
-}
-
 // Fate returns the final fate of the job, and false while some task can still change.
 func (job *Job) Fate(now time.Time) (descriptor.Fate, bool) {
 	var count [TaskNotRun + 1]int
@@ -210,53 +194,6 @@
 	return decision
 }
 
-// next returns the state of a task after its run had this outcome.
-func (job *Job) next(task *Task, outcome executor.Outcome) TaskState {
-	switch {
-	case task.Lost && !recorder.Started(outcome), job.Cancelled && !task.Ran:
-		return TaskNotRun
-	case job.Cancelled && job.Service():
-		return TaskDone
-	case outcome == executor.OutcomeDone && !job.Service():
-		return TaskDone
-	case outcome == recorder.OutcomeLost && (job.Cancelled || !job.Repeatable()):
-		return TaskUnknown
-	case job.Cancelled:
-		return TaskFailed
-	case job.Service():
-		return TaskWaiting
-	case !recorder.Started(outcome):
-		return job.unstarted()
-	case task.Lost, !job.Repeatable():
-		return TaskFailed
-	case task.Failures < job.Work.Treatment.MaxAttempts:
-		return TaskWaiting
-	case outcome == recorder.OutcomeLost:
-		return TaskUnknown
-	default:
-		return TaskFailed
-	}
-}
-
-// unstarted is the state of a task whose run never started. The other members of a gang may have
-// started, and those of a gang that can't be repeated must not start again.
-func (job *Job) unstarted() TaskState {
-	if job.Gang() && !job.Repeatable() && job.Ran() {
-		return TaskNotRun
-	}
-	return TaskWaiting
-}
-
-// Ran reports whether some task has started, or may have.
-func (job *Job) Ran() bool {
-	for i := range job.Tasks {
-		if job.Tasks[i].Ran {
-			return true
-		}
-	}
-	return false
-}
-
 // Avoid has other workers preferred to one on which a run failed.
 func (job *Job) Avoid(worker descriptor.WorkerID) {
 	for _, avoided := range job.Work.Avoid {
@@ -276,3 +213,34 @@
 		job.Tasks[index].Drop(end.Reason, end.Reason)
 	}
 }
+
+const (
+	// minPause is the pause after a first failure; it doubles with every further one.
+	minPause     = 250 * time.Millisecond
+	maxDoublings = 8
+)
+
+// Pause keeps the job from being queued again for a time that grows with the failures of a task.
+func (job *Job) Pause(now time.Time, failures int) {
+	resume := now.Add(minPause << min(failures, maxDoublings))
+	if resume.After(job.Resume) {
+		job.Resume = resume
+	}
+}
+
+// Wait sets the reason for waiting and reports whether its kind is new. Its numbers change all the time.
+func (job *Job) Wait(reason string) bool {
+	before, _, _ := strings.Cut(job.Reason, ":")
+	after, _, _ := strings.Cut(reason, ":")
+	job.Reason = reason
+	return before != after
+}
+
+// LostOn reports whether the run counts as unknown since its worker was lost. A nil job has no runs.
+func (job *Job) LostOn(worker descriptor.WorkerID, id descriptor.RunID) bool {
+	if job == nil || id.Task < 0 || id.Task >= len(job.Tasks) {
+		return false
+	}
+	task := &job.Tasks[id.Task]
+	return task.State == TaskUnknown && task.Worker == worker && job.Work.Attempts[id.Task] == id.Attempt
+}
--- a/internal/shard/controller/controller.go
+++ b/internal/shard/controller/controller.go
@@ -7,12 +7,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/dispatcher"
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -20,6 +23,9 @@
 // retryWhenDown is when callers should ask again while the shard can't take work.
 const retryWhenDown = 2 * time.Second
 
+// cleanInterval is the time between two searches for jobs and keys to forget.
+const cleanInterval = time.Minute
+
 // Controller is the state machine of one shard in one term of its owner.
 type Controller struct {
 	shard     descriptor.ShardID
@@ -34,6 +40,7 @@
 	// binding and accepting hold what is being written for the first time.
 	binding   map[string]*bindWait
 	accepting map[descriptor.JobID]*acceptWait
+	cleaned   time.Time
 }
 
 // New returns the controller of a shard, which waits for Loaded.
@@ -90,6 +97,7 @@
 		controller.dispatcher.SetAuthority(event.Authority)
 	case signaler.Tick:
 		controller.dispatcher.Tick(now)
+		controller.clean(now)
 	}
 }
 
@@ -158,3 +166,22 @@
 	return descriptor.NewProblem(descriptor.CodeUnavailable, retryWhenDown,
 		"shard %s cannot make work durable at present", controller.shard)
 }
+
+// clean forgets jobs and keys that are past their retention.
+func (controller *Controller) clean(now time.Time) {
+	if !controller.loaded || controller.authority != signaler.AuthorityAct || now.Sub(controller.cleaned) < cleanInterval {
+		return
+	}
+	controller.cleaned = now
+	for _, id := range slices.Sorted(maps.Keys(controller.durable.Jobs)) {
+		durable := controller.durable.Jobs[id]
+		if !durable.Ended() || now.Sub(durable.End.At) <= registrar.Retention {
+			continue
+		}
+		controller.dispatcher.Forget(id)
+		controller.outbox.Record(recorder.JobForgotten(id))
+	}
+	for _, id := range controller.durable.Keys.Expired(controller.shard, now) {
+		controller.outbox.Record(recorder.JobForgotten(id))
+	}
+}
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/recoverer"
 	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -35,15 +37,14 @@
 	recoverer recoverer.Recoverer
 	allocator allocator.Allocator
 	jobs      map[descriptor.JobID]*arbiter.Job
-	workers   map[descriptor.WorkerID]*worker
+	workers   map[descriptor.WorkerID]*watcher.Worker
 	listed    bool
 
 	// crowd is set when something changed that may let waiting work start.
 	crowd bool
 	// woken lists workers that may be due for a message.
-	woken   []*worker
-	swept   time.Time
-	cleaned time.Time
+	woken []*watcher.Worker
+	swept time.Time
 }
 
 // New returns a dispatcher that writes to outbox and reads durable.
@@ -54,7 +55,7 @@
 		durable: durable,
 		config:  &parser.Compiled{},
 		jobs:    map[descriptor.JobID]*arbiter.Job{},
-		workers: map[descriptor.WorkerID]*worker{},
+		workers: map[descriptor.WorkerID]*watcher.Worker{},
 	}
 }
 
@@ -63,6 +64,11 @@
 	return dispatcher.jobs[id]
 }
 
+// Forget drops an ended job.
+func (dispatcher *Dispatcher) Forget(id descriptor.JobID) {
+	delete(dispatcher.jobs, id)
+}
+
 // Load returns the summary that other instances see.
 func (dispatcher *Dispatcher) Load() allocator.Load {
 	return dispatcher.allocator.Load()
@@ -106,13 +112,7 @@
 			return nil, reason, nil
 		}
 	}
-	return &arbiter.Job{
-		ID:        id,
-		Work:      work,
-		Tasks:     make([]arbiter.Task, description.TaskCount()),
-		Held:      treatment.Hold,
-		Unchecked: !dispatcher.complete(),
-	}, "", nil
+	return arbiter.New(work, !dispatcher.complete()), "", nil
 }
 
 // Add queues the tasks of an accepted job.
@@ -126,3 +126,113 @@
 func (dispatcher *Dispatcher) note(now time.Time, job *arbiter.Job, code, format string, args ...any) {
 	dispatcher.outbox.Explain(job.ID, job.Note(now, code, format, args...))
 }
+
+// treat looks up the policies for a job and moves it in the queue.
+func (dispatcher *Dispatcher) treat(job *arbiter.Job) {
+	treatment := dispatcher.config.JobTreatment(job.Description())
+	// The selector was accepted together with the job.
+	_ = job.Work.Treat(treatment)
+	job.Held = treatment.Hold
+	if job.Ended {
+		return
+	}
+	if job.Held {
+		dispatcher.allocator.Unqueue(job.ID)
+		job.Reason = "held by a policy"
+		return
+	}
+	if waiting := job.InState(arbiter.TaskWaiting); len(waiting) > 0 && job.Resume.IsZero() {
+		dispatcher.queue(job, waiting...)
+	}
+}
+
+func (dispatcher *Dispatcher) queueAll(job *arbiter.Job) {
+	dispatcher.queue(job, job.InState(arbiter.TaskWaiting)...)
+}
+
+func (dispatcher *Dispatcher) queue(job *arbiter.Job, tasks ...int) {
+	if job.Held || job.Cancelled || job.Ended || len(tasks) == 0 {
+		return
+	}
+	dispatcher.allocator.Queue(job.Work, tasks...)
+	dispatcher.crowd = true
+}
+
+// Cancel ends the waiting tasks of a job and stops the others.
+func (dispatcher *Dispatcher) Cancel(now time.Time, job *arbiter.Job) {
+	if job.Cancelled {
+		return
+	}
+	dispatcher.note(now, job, "Cancelled", "cancelled by its caller")
+	dispatcher.cancelTasks(now, job)
+}
+
+func (dispatcher *Dispatcher) cancelTasks(now time.Time, job *arbiter.Job) {
+	// A gang that was being stopped to start again is only stopped now.
+	job.Cancelled, job.Restarting = true, false
+	dispatcher.allocator.Unqueue(job.ID)
+	for i := range job.Tasks {
+		task := &job.Tasks[i]
+		switch {
+		case task.State == arbiter.TaskWaiting:
+			task.Drop("cancelled before it started", "cancelled between two attempts")
+		case task.Run != nil:
+			dispatcher.stop(now, task.Run, "cancelled")
+		}
+	}
+	dispatcher.settle(now, job)
+}
+
+// Revive begins a term: the live view is rebuilt from the durable state, and all runs that may be in
+// progress wait for the reports of their workers.
+func (dispatcher *Dispatcher) Revive(now time.Time, epoch uint64) {
+	dispatcher.epoch, dispatcher.loaded = epoch, true
+	for _, id := range slices.Sorted(maps.Keys(dispatcher.durable.Jobs)) {
+		dispatcher.revive(now, dispatcher.durable.Jobs[id])
+	}
+	dispatcher.crowd = true
+}
+
+// revive rebuilds the live view of a job.
+func (dispatcher *Dispatcher) revive(now time.Time, durable *recorder.Job) {
+	treatment := dispatcher.config.JobTreatment(&durable.Description)
+	// The selector was accepted together with the job.
+	work, _ := allocator.NewWork(durable.ID, &durable.Description, treatment, durable.Accepted)
+	job, open := arbiter.Revive(durable, work)
+	dispatcher.jobs[job.ID] = job
+	for _, run := range open {
+		dispatcher.attach(run)
+	}
+	if !job.Ended {
+		dispatcher.note(now, job, "Recovered", "taken over by epoch %d", dispatcher.epoch)
+	}
+	for i := range durable.Tasks {
+		ended := &durable.Tasks[i]
+		if ended.Run.Outcome != "" {
+			dispatcher.apply(now, job, i, executor.RunResult{
+				Outcome:    ended.Run.Outcome,
+				Checkpoint: ended.Checkpoint,
+				Reason:     ended.Run.Reason,
+			})
+		}
+	}
+	if job.Ended {
+		job.Close(durable.End)
+		return
+	}
+	dispatcher.resumeJob(now, job)
+}
+
+// resumeJob continues what the last owner may have left half done.
+func (dispatcher *Dispatcher) resumeJob(now time.Time, job *arbiter.Job) {
+	waiting := job.InState(arbiter.TaskWaiting)
+	switch {
+	case job.Cancelled:
+		dispatcher.cancelTasks(now, job)
+	case job.Gang() && len(waiting) > 0 && len(waiting) < len(job.Tasks):
+		dispatcher.restart(now, job)
+	case job.Resume.IsZero():
+		dispatcher.queueAll(job)
+	}
+	dispatcher.settle(now, job)
+}
--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -7,23 +7,24 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
 // begin records the intent of a run that the allocator placed.
-func (dispatcher *Dispatcher) begin(now time.Time, job *arbiter.Job, id descriptor.RunID, worker *worker) {
+func (dispatcher *Dispatcher) begin(now time.Time, job *arbiter.Job, id descriptor.RunID, worker *watcher.Worker) {
 	run := &arbiter.Run{
 		ID:          id,
 		Job:         job,
-		Worker:      worker.id,
-		Incarnation: worker.incarnation,
+		Worker:      worker.ID,
+		Incarnation: worker.Incarnation,
 		Reserved:    true,
 	}
 	dispatcher.attach(run)
-	dispatcher.note(now, job, "Placed", "task %d, attempt %d: placed on %s", id.Task, id.Attempt, worker.id)
-	dispatcher.outbox.Record(recorder.RunIntended(id, worker.id, worker.incarnation, now), func(now time.Time) {
+	dispatcher.note(now, job, "Placed", "task %d, attempt %d: placed on %s", id.Task, id.Attempt, worker.ID)
+	dispatcher.outbox.Record(recorder.RunIntended(id, worker.ID, worker.Incarnation, now), func(now time.Time) {
 		run.Phase = arbiter.PhaseReady
-		if worker.suspect {
+		if worker.Suspect {
 			dispatcher.stop(now, run, "the worker does not answer")
 		}
 		dispatcher.wake(worker)
@@ -34,7 +35,7 @@
 	task := run.Task()
 	task.State, task.Run, task.Worker = arbiter.TaskLive, run, run.Worker
 	run.Job.Work.Attempts[run.ID.Task] = run.ID.Attempt
-	dispatcher.worker(run.Worker).runs[run.ID] = run
+	dispatcher.worker(run.Worker).Runs[run.ID] = run
 }
 
 // stop ends a run. One whose start was never sent ends at once.
@@ -62,7 +63,7 @@
 		result.Outcome = recorder.OutcomeNotStarted
 	}
 	worker := dispatcher.worker(run.Worker)
-	delete(worker.runs, run.ID)
+	delete(worker.Runs, run.ID)
 	if run.Reserved {
 		dispatcher.allocator.Release(run.Job.Work, run.ID)
 	}
@@ -81,19 +82,19 @@
 
 // conclude records an outcome and applies it to the live task. The worker may forget the run as soon
 // as the record is durable.
-func (dispatcher *Dispatcher) conclude(now time.Time, job *arbiter.Job, worker *worker, result executor.RunResult) {
+func (dispatcher *Dispatcher) conclude(now time.Time, job *arbiter.Job, worker *watcher.Worker, result executor.RunResult) {
 	id := result.Run
 	task := &job.Tasks[id.Task]
 	task.Run = nil
-	worker.ends[id] = false
+	worker.Ends[id] = false
 	dispatcher.outbox.Record(recorder.RunEnded(result), func(time.Time) {
-		worker.ends[id] = true
+		worker.Ends[id] = true
 		dispatcher.wake(worker)
 	})
 	if recorder.Counts(result.Outcome) {
 		task.Failures++
 	}
-	text := fmt.Sprintf("task %d, attempt %d: %s on %s", id.Task, id.Attempt, result.Outcome, worker.id)
+	text := fmt.Sprintf("task %d, attempt %d: %s on %s", id.Task, id.Attempt, result.Outcome, worker.ID)
 	if result.Reason != "" {
 		text += ": " + result.Reason
 	}
@@ -119,22 +120,13 @@
 	}
 }
 
-const (
-	// minPause is the pause after a first failure; it doubles with every further one.
-	minPause     = 250 * time.Millisecond
-	maxDoublings = 8
-)
-
 // repeat queues a task again, after a pause if it failed or was refused.
 func (dispatcher *Dispatcher) repeat(now time.Time, job *arbiter.Job, index int, outcome executor.Outcome) {
 	task := &job.Tasks[index]
 	switch outcome {
 	case executor.OutcomeFailed, executor.OutcomeRefused, executor.OutcomeDone, recorder.OutcomeLost:
 		job.Avoid(task.Worker)
-		pause := minPause << min(task.Failures, maxDoublings)
-		if resume := now.Add(pause); resume.After(job.Resume) {
-			job.Resume = resume
-		}
+		job.Pause(now, task.Failures)
 	default:
 		dispatcher.queue(job, index)
 	}
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -1,27 +1,18 @@
 package dispatcher
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
-	"pomelomoor/internal/shard/recorder"
-	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
-const (
-	// sweepInterval is the time between two looks at all jobs.
-	sweepInterval = time.Second
-	// cleanInterval is the time between two searches for jobs and keys to forget.
-	cleanInterval = time.Minute
-)
+// sweepInterval is the time between two looks at all jobs.
+const sweepInterval = time.Second
 
 // Tick looks at everything that depends on the time.
 func (dispatcher *Dispatcher) Tick(now time.Time) {
@@ -36,28 +27,24 @@
 		dispatcher.swept = now
 		dispatcher.sweep(now)
 	}
-	if now.Sub(dispatcher.cleaned) >= cleanInterval && dispatcher.authority == signaler.AuthorityAct {
-		dispatcher.cleaned = now
-		dispatcher.clean(now)
-	}
 	dispatcher.crowd = true
 }
 
-func (dispatcher *Dispatcher) tickWorker(now time.Time, worker *worker) {
-	if now.Sub(worker.asked) >= syncInterval {
+func (dispatcher *Dispatcher) tickWorker(now time.Time, worker *watcher.Worker) {
+	if now.Sub(worker.Asked) >= syncInterval {
 		dispatcher.due(worker)
 	}
-	silent := worker.suspect || !worker.reported
-	if silent && dispatcher.authority == signaler.AuthorityAct && len(worker.runs) > 0 && dispatcher.recoverer.Gone(worker.id, now) {
-		for _, run := range sortedRuns(worker.runs) {
+	silent := worker.Suspect || !worker.Reported
+	if silent && dispatcher.authority == signaler.AuthorityAct && len(worker.Runs) > 0 && dispatcher.recoverer.Gone(worker.ID, now) {
+		for _, run := range worker.SortedRuns() {
 			dispatcher.giveUp(now, run)
 		}
 	}
-	unused := !worker.listed && dispatcher.listed && len(worker.runs) == 0 && !worker.inFlight
-	if unused && (silent || len(worker.ends) == 0) {
-		delete(dispatcher.workers, worker.id)
-		dispatcher.allocator.RemoveWorker(worker.id)
-		dispatcher.recoverer.Forget(worker.id)
+	unused := !worker.Listed && dispatcher.listed && len(worker.Runs) == 0 && !worker.InFlight
+	if unused && (silent || len(worker.Ends) == 0) {
+		delete(dispatcher.workers, worker.ID)
+		dispatcher.allocator.RemoveWorker(worker.ID)
+		dispatcher.recoverer.Forget(worker.ID)
 		dispatcher.crowd = true
 	}
 }
@@ -65,10 +52,7 @@
 // giveUp ends a run whose worker's lease has provably lapsed.
 func (dispatcher *Dispatcher) giveUp(now time.Time, run *arbiter.Run) {
 	if run.Phase == arbiter.PhaseReady || run.Phase == arbiter.PhaseIntending {
-		dispatcher.end(now, run, executor.RunResult{
-			Outcome: recorder.OutcomeNotStarted,
-			Reason:  "the worker was lost before the start was sent",
-		})
+		dispatcher.stop(now, run, "the worker was lost before the start was sent")
 		return
 	}
 	dispatcher.lose(now, run, "the worker was lost and its lease has lapsed")
@@ -144,21 +128,6 @@
 	}
 }
 
-// clean forgets jobs and keys that are past their retention.
-func (dispatcher *Dispatcher) clean(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
-		durable := dispatcher.durable.Jobs[id]
-		if durable == nil || !durable.Ended() || now.Sub(durable.End.At) <= registrar.Retention {
-			continue
-		}
-		delete(dispatcher.jobs, id)
-		dispatcher.outbox.Record(recorder.JobForgotten(id))
-	}
-	for _, id := range dispatcher.durable.Keys.Expired(dispatcher.shard, now) {
-		dispatcher.outbox.Record(recorder.JobForgotten(id))
-	}
-}
-
 // place starts what fits and names work to preempt.
 func (dispatcher *Dispatcher) place(now time.Time) {
 	result := dispatcher.allocator.Pass(now)
@@ -168,25 +137,16 @@
 		dispatcher.begin(now, job, placement.Run, dispatcher.workers[placement.Worker])
 	}
 	for _, refusal := range result.Refusals {
-		dispatcher.explainWait(now, dispatcher.jobs[refusal.Job], refusal)
+		job := dispatcher.jobs[refusal.Job]
+		if job.Wait(refusal.Reason) {
+			dispatcher.note(now, job, "Waiting", "%s", refusal.Reason)
+		}
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(result.Preempt), compareRuns) {
+	for _, id := range slices.SortedFunc(maps.Keys(result.Preempt), watcher.CompareRuns) {
 		dispatcher.preempt(now, id, result.Preempt[id])
 	}
 }
 
-// explainWait notes a reason in the trail only when its kind changes; its numbers change all the time.
-func (dispatcher *Dispatcher) explainWait(now time.Time, job *arbiter.Job, refusal allocator.Refusal) {
-	kind := func(reason string) string {
-		before, _, _ := strings.Cut(reason, ":")
-		return before
-	}
-	if kind(job.Reason) != kind(refusal.Reason) {
-		dispatcher.note(now, job, "Waiting", "%s", refusal.Reason)
-	}
-	job.Reason = refusal.Reason
-}
-
 func (dispatcher *Dispatcher) preempt(now time.Time, id descriptor.RunID, by descriptor.JobID) {
 	job := dispatcher.jobs[id.Job]
 	if job == nil {
@@ -201,28 +161,8 @@
 	dispatcher.wake(dispatcher.worker(run.Worker))
 }
 
-func compareRuns(one, other descriptor.RunID) int {
-	return cmp.Or(
-		cmp.Compare(one.Job, other.Job),
-		cmp.Compare(one.Task, other.Task),
-		cmp.Compare(one.Attempt, other.Attempt),
-	)
-}
-
-func sortRuns(ids []descriptor.RunID) {
-	slices.SortFunc(ids, compareRuns)
-}
-
-func sortedRuns(runs map[descriptor.RunID]*arbiter.Run) []*arbiter.Run {
-	sorted := make([]*arbiter.Run, 0, len(runs))
-	for _, id := range slices.SortedFunc(maps.Keys(runs), compareRuns) {
-		sorted = append(sorted, runs[id])
-	}
-	return sorted
-}
-
-func (dispatcher *Dispatcher) sortedWorkers() []*worker {
-	sorted := make([]*worker, 0, len(dispatcher.workers))
+func (dispatcher *Dispatcher) sortedWorkers() []*watcher.Worker {
+	sorted := make([]*watcher.Worker, 0, len(dispatcher.workers))
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.workers)) {
 		sorted = append(sorted, dispatcher.workers[id])
 	}
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -20,14 +20,14 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/shard/caller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
 const (
-	// flushInterval combines the records of many decisions into one write.
-	flushInterval = 50 * time.Millisecond
 	// tickInterval is the resolution of the controller's time.
 	tickInterval = 50 * time.Millisecond
 	// callTimeout bounds one call of the store. It is below the instance's lease of 4 s.
@@ -84,6 +84,7 @@
 	options Options
 	tracer  trace.Tracer
 	metrics metrics
+	caller  caller.Caller
 	// syncs holds a place for each call to a worker.
 	syncs   chan struct{}
 	term    atomic.Pointer[term]
@@ -102,7 +103,7 @@
 		return nil, nil, errors.New("driver: Shard, Store, Executor and Authority are required")
 	}
 	if options.Belongs == nil {
-		options.Belongs = siteOf(options.Shard)
+		options.Belongs = watcher.OfSite(options.Shard)
 	}
 	if options.MaxSyncs == 0 {
 		options.MaxSyncs = defaultMaxSyncs
@@ -125,15 +126,15 @@
 		metrics: newMetrics(options.Scope),
 		syncs:   make(chan struct{}, options.MaxSyncs),
 	}
-	return driver, driver.serving.Wait, nil
-}
-
-// siteOf returns a test for the workers of a shard named SITE-INDEX.
-func siteOf(shard descriptor.ShardID) func(lister.Instance) bool {
-	return func(instance lister.Instance) bool {
-		prefix := instance.Place.Site + "-"
-		return len(shard) > len(prefix) && string(shard[:len(prefix)]) == prefix
+	driver.caller = caller.Caller{
+		Executor:  options.Executor,
+		Authority: options.Authority,
+		Now:       options.Now,
+		Tracer:    driver.tracer,
+		Calls:     driver.metrics.syncs,
+		Silent:    driver.metrics.silent,
 	}
+	return driver, driver.serving.Wait, nil
 }
 
 // String names the service in its supervisor's log.
--- a/internal/shard/driver/flush.go
+++ b/internal/shard/driver/flush.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/shard/batcher"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/shard/signaler"
@@ -14,92 +15,26 @@
 // snapshotAt is the used part of the ring at which a snapshot is written.
 const snapshotAt = 0.5
 
-// queue holds what is to be written, in order.
-type queue struct {
-	appends []signaler.Append
-	// partial tells that some records of the first append are durable already.
-	partial bool
-	// attempted is the number of appends that the write in progress, or one whose outcome is not
-	// known, may contain.
-	attempted int
-	flushing  bool
-	undecided bool
-	// failedUntil is set while the journal is unavailable: new submissions are refused until then.
-	failedUntil time.Time
-	flushedAt   time.Time
-	snapshot    bool
-}
-
 type flushResult struct {
 	written int
 	err     error
 }
 
-func (queue *queue) add(action signaler.Append) {
-	queue.appends = append(queue.appends, action)
-}
-
-func (queue *queue) down(now time.Time) bool {
-	return now.Before(queue.failedUntil)
-}
-
-// drop takes out the droppable appends that no write can contain and returns their tokens.
-func (queue *queue) drop() []signaler.Token {
-	var tokens []signaler.Token
-	kept := queue.appends[:queue.attempted:queue.attempted]
-	for _, action := range queue.appends[queue.attempted:] {
-		if action.Droppable {
-			tokens = append(tokens, action.Token)
-			continue
-		}
-		kept = append(kept, action)
-	}
-	queue.appends = kept
-	return tokens
-}
-
-// take removes written records from the front and returns the tokens that are complete.
-func (queue *queue) take(written int) []signaler.Token {
-	var tokens []signaler.Token
-	for len(queue.appends) > 0 && written >= len(queue.appends[0].Records) {
-		written -= len(queue.appends[0].Records)
-		tokens = append(tokens, queue.appends[0].Token)
-		queue.appends = queue.appends[1:]
-		queue.partial = false
-	}
-	if written > 0 {
-		queue.appends[0].Records = queue.appends[0].Records[written:]
-		// What is partly durable can't be refused any more.
-		queue.appends[0].Droppable = false
-		queue.partial = true
-	}
-	return tokens
-}
-
 // schedule has the queue flushed as soon as that is allowed again.
 func (term *term) schedule() {
-	if !term.queue.flushing {
-		term.timer.Reset(term.queue.wait(term.driver.options.Now()))
-	}
-}
-
-// wait returns the time until the next write may start.
-func (queue *queue) wait(now time.Time) time.Duration {
-	ready := queue.flushedAt.Add(flushInterval)
-	if queue.failedUntil.After(ready) {
-		ready = queue.failedUntil
+	if !term.queue.Flushing {
+		term.timer.Reset(term.queue.Wait(term.driver.options.Now()))
 	}
-	return max(ready.Sub(now), 0)
 }
 
 // flush starts a write unless one is in progress or nothing may be written now.
 func (term *term) flush(ctx context.Context) {
 	queue := &term.queue
 	now := term.driver.options.Now()
-	if len(queue.appends) == 0 && !queue.undecided || queue.flushing {
+	if len(queue.Appends) == 0 && !queue.Undecided || queue.Flushing {
 		return
 	}
-	if wait := queue.wait(now); wait > 0 {
+	if wait := queue.Wait(now); wait > 0 {
 		term.timer.Reset(wait)
 		return
 	}
@@ -107,17 +42,17 @@
 		return
 	}
 	if limiter := term.driver.options.Limiter; limiter != nil && !limiter.AllowN(now, 1) {
-		term.timer.Reset(flushInterval)
+		term.timer.Reset(batcher.FlushInterval)
 		return
 	}
 	var records []*recordpb.Record
-	if !queue.undecided {
-		queue.attempted = len(queue.appends)
-		for _, action := range queue.appends {
+	if !queue.Undecided {
+		queue.Attempted = len(queue.Appends)
+		for _, action := range queue.Appends {
 			records = append(records, action.Records...)
 		}
 	}
-	queue.flushing, queue.flushedAt = true, now
+	queue.Flushing, queue.FlushedAt = true, now
 	term.work.Add(1)
 	go term.write(ctx, records)
 }
@@ -149,30 +84,30 @@
 // settleFlush takes the result of a write into account.
 func (term *term) settleFlush(ctx context.Context, result flushResult) {
 	queue := &term.queue
-	queue.flushing = false
+	queue.Flushing = false
 	now := term.driver.options.Now()
 	switch {
 	case result.err == nil:
-		queue.undecided, queue.attempted, queue.failedUntil = false, 0, time.Time{}
-		for _, token := range queue.take(result.written) {
+		queue.Undecided, queue.Attempted, queue.FailedUntil = false, 0, time.Time{}
+		for _, token := range queue.Take(result.written) {
 			term.step(ctx, signaler.Written{
 				Token: token,
 			})
 		}
 	case errors.Is(result.err, journaler.ErrFull):
-		queue.attempted = 0
+		queue.Attempted = 0
 	case errors.Is(result.err, journaler.ErrUnavailable):
 		// Nothing was written: an undecided append stays undecided until Settle says otherwise.
-		queue.attempted = 0
+		queue.Attempted = 0
 		term.refuse(ctx, now, result.err)
 	case errors.Is(result.err, journaler.ErrUndecided):
-		queue.undecided = true
+		queue.Undecided = true
 		term.refuse(ctx, now, result.err)
 	default:
 		term.end(result.err.Error())
 	}
 	term.maybeSnapshot(ctx)
-	if len(queue.appends) > 0 || queue.undecided {
+	if len(queue.Appends) > 0 || queue.Undecided {
 		term.schedule()
 	}
 }
@@ -181,8 +116,8 @@
 func (term *term) refuse(ctx context.Context, now time.Time, err error) {
 	term.driver.options.Logger.WarnContext(ctx, "journal is unavailable", "Event", eventJournalDown,
 		"Shard", term.driver.options.Shard, "Error", err)
-	term.queue.failedUntil = now.Add(retryPause)
-	for _, token := range term.queue.drop() {
+	term.queue.FailedUntil = now.Add(retryPause)
+	for _, token := range term.queue.Drop() {
 		term.step(ctx, signaler.Refused{
 			Token: token,
 		})
@@ -193,13 +128,13 @@
 // that of the last batch when no write is in progress and no append is partly written.
 func (term *term) maybeSnapshot(ctx context.Context) {
 	queue := &term.queue
-	if queue.snapshot || queue.flushing || queue.undecided || queue.partial || term.over != "" {
+	if queue.Snapshot || queue.Flushing || queue.Undecided || queue.Partial || term.over != "" {
 		return
 	}
 	if term.journal.Used() < snapshotAt || term.driver.options.Authority() != signaler.AuthorityAct {
 		return
 	}
-	queue.snapshot = true
+	queue.Snapshot = true
 	sequence := term.journal.Sequence()
 	records := term.machine.Snapshot()
 	term.work.Add(1)
@@ -212,7 +147,7 @@
 }
 
 func (term *term) settleSnapshot(ctx context.Context, err error) {
-	term.queue.snapshot = false
+	term.queue.Snapshot = false
 	term.driver.metrics.snapshots.Inc(1)
 	switch {
 	case err == nil:
@@ -229,7 +164,7 @@
 	deadline := time.NewTimer(handoverTimeout)
 	defer deadline.Stop()
 	for term.over == "" {
-		if !term.queue.flushing && len(term.queue.appends) == 0 && !term.queue.undecided {
+		if !term.queue.Flushing && len(term.queue.Appends) == 0 && !term.queue.Undecided {
 			term.end("handed over")
 			return
 		}
--- a/internal/shard/driver/metrics.go
+++ b/internal/shard/driver/metrics.go
@@ -14,7 +14,6 @@
 	eventJournalDown    = 3004
 	eventSnapshotFailed = 3005
 	eventDecision       = 3006
-	eventWorkerSilent   = 3007
 )
 
 type metrics struct {
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -5,9 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/batcher"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
@@ -35,7 +33,7 @@
 	authority signaler.Authority
 	waiters   map[signaler.Request]chan answer
 	request   signaler.Request
-	queue     queue
+	queue     batcher.Queue
 	timer     *time.Timer
 	loadedAt  time.Time
 	// over is why the term ends; empty while it goes on.
@@ -79,14 +77,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for term.over == "" {
-		select {
-		case <-ctx.Done():
-			term.handOver(workCtx)
-		case <-ticker.C:
-			term.tick(workCtx)
-		default:
-			term.next(ctx, workCtx, ticker.C)
-		}
+		term.next(ctx, workCtx, ticker.C)
 	}
 	term.abandon()
 	return term.over
@@ -180,7 +171,7 @@
 	term.request++
 	term.waiters[term.request] = call.reply
 	event := call.event(term.request)
-	if _, ok := event.(signaler.Cancel); ok && term.queue.down(term.driver.options.Now()) {
+	if _, ok := event.(signaler.Cancel); ok && term.queue.Down(term.driver.options.Now()) {
 		term.answer(term.request, answer{
 			problem: descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter,
 				"the journal of shard %s is unavailable; the job was not cancelled", term.driver.options.Shard),
@@ -199,6 +190,12 @@
 	reply <- answer
 }
 
+func (term *term) respond(request signaler.Request, action signaler.Action) {
+	term.answer(request, answer{
+		action: action,
+	})
+}
+
 // abandon answers the callers that still wait. Their records may be durable.
 func (term *term) abandon() {
 	for request := range term.waiters {
@@ -228,28 +225,22 @@
 func (term *term) perform(ctx context.Context, action signaler.Action) signaler.Event {
 	switch action := action.(type) {
 	case signaler.Append:
-		if action.Droppable && term.queue.down(term.driver.options.Now()) {
+		if action.Droppable && term.queue.Down(term.driver.options.Now()) {
 			return signaler.Refused{
 				Token: action.Token,
 			}
 		}
-		term.queue.add(action)
+		term.queue.Add(action)
 		term.schedule()
 	case signaler.Sync:
 		term.work.Add(1)
 		go term.sync(ctx, action)
 	case signaler.AnswerBind:
-		term.answer(action.Request, answer{
-			action: action,
-		})
+		term.respond(action.Request, action)
 	case signaler.AnswerAccept:
-		term.answer(action.Request, answer{
-			action: action,
-		})
+		term.respond(action.Request, action)
 	case signaler.AnswerCancel:
-		term.answer(action.Request, answer{
-			action: action,
-		})
+		term.respond(action.Request, action)
 	case signaler.Explain:
 		term.driver.options.Logger.DebugContext(ctx, "decision about a job", "Event", eventDecision,
 			"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
@@ -262,12 +253,10 @@
 // sync sends a message to a worker and brings its answer to the event loop.
 func (term *term) sync(ctx context.Context, action signaler.Sync) {
 	defer term.work.Done()
-	var event signaler.Event = signaler.Unanswered{
-		Worker: action.Worker,
-	}
+	var event signaler.Event
 	select {
 	case term.driver.syncs <- struct{}{}:
-		event = term.call(ctx, action)
+		event = term.driver.caller.Call(ctx, action)
 		<-term.driver.syncs
 	case <-term.closed:
 		return
@@ -277,56 +266,3 @@
 	case <-term.closed:
 	}
 }
-
-// call checks the lease, sends the message and translates the answer.
-func (term *term) call(ctx context.Context, action signaler.Sync) signaler.Event {
-	driver := term.driver
-	ctx, span := driver.start(ctx, "worker.sync")
-	defer span.End()
-	request := action.Request
-	// The task lease counts from the decision, which the controller remembers.
-	if request.Lease > 0 {
-		request.Lease = max(request.Lease-driver.options.Now().Sub(action.Sent), time.Millisecond)
-	}
-	driver.metrics.syncs.Inc(1)
-	if !allowed(driver.options.Authority(), request) {
-		return signaler.Unanswered{
-			Worker: action.Worker,
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := driver.options.Executor.Sync(ctx, action.Address, request)
-	switch {
-	case err == nil:
-		return signaler.Reported{
-			Worker: action.Worker,
-			Sent:   action.Sent,
-			Reply:  reply,
-		}
-	case errors.Is(err, executor.ErrFenced):
-		return signaler.Fenced{
-			Worker: action.Worker,
-		}
-	}
-	span.RecordError(err)
-	driver.metrics.silent.Inc(1)
-	driver.options.Logger.DebugContext(ctx, "worker did not answer", "Event", eventWorkerSilent, "Worker", action.Worker, "Error", err)
-	return signaler.Unanswered{
-		Worker:         action.Worker,
-		MayHaveArrived: !errors.Is(err, executor.ErrUnreachable),
-	}
-}
-
-// allowed reports whether a message may be sent under the authority of this moment.
-func allowed(authority signaler.Authority, request executor.SyncRequest) bool {
-	switch authority {
-	case signaler.AuthorityAct:
-		return true
-	case signaler.AuthorityRenew:
-		commands := len(request.Start) + len(request.Stop) + len(request.Checkpoint) + len(request.Throttle) + len(request.Acknowledge)
-		return commands == 0
-	default:
-		return false
-	}
-}
