Tell the fate that a runner reports at the deadline; one ID for a request

An instance ended its attempt exactly at the deadline, when a runner that works until then answers that it gave up, so the fate was Unknown. Answers of runners are now awaited 250 ms past the deadline and those of peers twice as long; no attempt begins after the deadline.

The handler made an ID for the caller and the forwarder another one for its spans, logs and attempts. The handler's is now the only one; a peer's span and log lines carry it too. Log events of the forwarder are those of the catalogue; 609 ForwardFailed is new.

--- a/internal/entry/adapter/adapter.go
+++ b/internal/entry/adapter/adapter.go
@@ -39,6 +39,7 @@
 // Handle implements handler.Requests.
 func (requests Requests) Handle(ctx context.Context, request presenter.Request) (presenter.Response, error) {
 	result := requests.Forwarder.Do(ctx, forwarder.Request{
+		ID:         request.ID,
 		Service:    request.Service,
 		Caller:     request.Caller,
 		Labels:     request.Labels,
--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -31,7 +31,7 @@
 
 // Requests carries out interactive requests.
 type Requests interface {
-	// Handle returns a complete answer to request, or an error. An error that is not a
+	// Handle returns a complete answer to request, or an error, by its deadline or shortly after. An error that is not a
 	// *descriptor.Problem counts as unknown fate.
 	Handle(ctx context.Context, request presenter.Request) (presenter.Response, error)
 }
--- a/internal/entry/handler/requests.go
+++ b/internal/entry/handler/requests.go
@@ -1,7 +1,6 @@
 package handler
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
@@ -41,13 +40,8 @@
 		}
 		defer release()
 	}
-	ctx := call.Context()
-	if !request.Deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
-		defer cancel()
-	}
-	response, err := server.Requests.Handle(ctx, request)
+	// The deadline does not end the context, because the fate may become known just after it.
+	response, err := server.Requests.Handle(call.Context(), request)
 	if err != nil {
 		server.fail(writer, call, err)
 		return
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -347,6 +347,13 @@
 		Text:    "call failed by a fault of the system",
 		Meaning: "A public call got the code `Internal`. Report `Error`.",
 	},
+	{
+		Event:   EventForwardFailed,
+		Level:   slog.LevelWarn,
+		Name:    "ForwardFailed",
+		Text:    "forward failed",
+		Meaning: "A peer with free slots did not answer a forwarded request. It is tried again if it is idempotent or provably was not run.",
+	},
 	{
 		Event:   EventPeerJoined,
 		Level:   slog.LevelInfo,
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -62,6 +62,7 @@
 	EventRunnerLeaving    Event = 606
 	EventAnswerMismatched Event = 607
 	EventCallFailed       Event = 608
+	EventForwardFailed    Event = 609
 
 	// Members.
 	EventPeerJoined        Event = 701
--- a/internal/platform/requester/client.go
+++ b/internal/platform/requester/client.go
@@ -96,14 +96,15 @@
 	}
 }
 
-// Send implements Requester. A zero deadline means that only ctx limits the request.
+// Send implements Requester. A zero deadline means that only ctx limits the request. The answer is
+// awaited until AnswerGrace past the deadline.
 func (client *Client) Send(ctx context.Context, runner netip.AddrPort, request Request) (Response, error) {
 	if len(request.Body) > MaxBody {
 		return Response{}, errors.Wrapf(ErrNotRun, "body exceeds %d bytes", MaxBody)
 	}
 	if !request.Deadline.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
+		ctx, cancel = context.WithDeadline(ctx, request.Deadline.Add(AnswerGrace))
 		defer cancel()
 	}
 	client.calls.Add(1)
--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -10,6 +10,10 @@
 	"github.com/go-faster/errors"
 )
 
+// AnswerGrace is how long an answer is awaited past the deadline. A runner that gives a request up at
+// its deadline tells so then, and a fate that is known beats one that is a little earlier.
+const AnswerGrace = 250 * time.Millisecond
+
 // MaxBody is the largest request or answer body in bytes.
 const MaxBody = 1 << 20
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -13,19 +13,13 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/requester"
 	"pomelomoor/internal/request/retrier"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
 )
 
-// Numbers of log events.
-const (
-	eventRunnerPaused  = 3001
-	eventWrongAnswer   = 3002
-	eventForwardFailed = 3003
-)
-
 // call is one request on its way. It belongs to the goroutine of its caller.
 type call struct {
 	id         string
@@ -57,6 +51,10 @@
 	return fmt.Sprintf("%s.%d", call.id, call.sent)
 }
 
+func (call *call) expired() bool {
+	return !time.Now().Before(call.request.Deadline)
+}
+
 // refused returns the result of a call that never was attempted.
 func (call *call) refused(problem *descriptor.Problem) Result {
 	return Result{
@@ -70,8 +68,10 @@
 
 // pursue makes attempts until the fate is final.
 func (forwarder *Forwarder) pursue(ctx context.Context, call *call) Result {
+	waiting, cancel := context.WithDeadline(ctx, call.request.Deadline)
+	defer cancel()
 	for {
-		slot, peer, problem := call.service.acquire(ctx, call)
+		slot, peer, problem := call.service.acquire(waiting, call)
 		if problem != nil {
 			return call.end(forwarder.abandon(call, problem), answer{})
 		}
@@ -79,7 +79,7 @@
 		if peer != "" {
 			call.mayForward = false
 			answer = forwarder.forward(ctx, call, peer)
-			if refused, ok := answer.outcome.(retrier.NotRun); ok && ctx.Err() == nil {
+			if refused, ok := answer.outcome.(retrier.NotRun); ok && waiting.Err() == nil {
 				// The peer's report was out of date; the own queue is still open.
 				call.service.metrics.count("forward_refused", "code", string(refused.Problem.Code))
 				continue
@@ -88,7 +88,7 @@
 			call.avoid = slot.Runner
 			answer = forwarder.attempt(ctx, call, slot)
 		}
-		verdict := forwarder.decide(ctx, call, answer.outcome)
+		verdict := forwarder.decide(waiting, call, answer.outcome)
 		if !verdict.Retry {
 			return call.end(verdict, answer)
 		}
@@ -133,42 +133,35 @@
 		trace.WithAttributes(attribute.String("Runner", slot.Runner)),
 	)
 	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, call.request.Deadline.Add(requester.AnswerGrace))
+	defer cancel()
 	started := time.Now()
 	health := router.OutcomeFailure
 	// Deferred, because a slot that a panic kept would be lost.
 	defer func() {
-		call.service.release(ctx, slot, health, time.Since(started))
+		took := time.Since(started)
+		if health == router.OutcomeTimeout {
+			// The wait past the deadline says nothing about how long work takes.
+			took = min(took, call.request.Deadline.Sub(started))
+		}
+		call.service.release(ctx, slot, health, took)
 	}()
 	id := call.nextID()
-	span.SetAttributes(attribute.String("ID", id))
-	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
-		ID:         id,
-		Service:    call.request.Service,
-		Caller:     call.request.Caller,
-		Deadline:   call.request.Deadline,
-		Idempotent: call.request.Idempotent,
-		Body:       call.request.Body,
-	})
-	if err == nil && response.ID != id {
-		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
-	}
-	if errors.Is(err, requester.ErrMismatch) {
-		forwarder.options.Logger.ErrorContext(ctx, "answer of another request was discarded",
-			slog.Int("Event", eventWrongAnswer),
-			slog.String("Runner", slot.Runner),
-			slog.String("ID", id),
-			slog.String("Error", err.Error()),
-		)
-	}
+	span.SetAttributes(attribute.String("Attempt", id))
+	response, err := forwarder.send(ctx, call, slot, id)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		health = runnerHealth(ctx, err)
+		health = call.runnerHealth(ctx, err)
 		return answer{
 			outcome: failure(err),
 		}
 	}
-	if response.Status < 500 {
+	switch {
+	case response.Status < 500:
 		health = router.OutcomeSuccess
+	case call.expired():
+		// The runner gave the request up at its deadline, which is no fault of the runner.
+		health = router.OutcomeTimeout
 	}
 	return answer{
 		outcome: retrier.Answered{
@@ -179,14 +172,34 @@
 	}
 }
 
+// send returns the runner's answer to the attempt. An answer to another attempt is an error.
+func (forwarder *Forwarder) send(ctx context.Context, call *call, slot router.Slot, id string) (requester.Response, error) {
+	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
+		ID:         id,
+		Service:    call.request.Service,
+		Caller:     call.request.Caller,
+		Deadline:   call.request.Deadline,
+		Idempotent: call.request.Idempotent,
+		Body:       call.request.Body,
+	})
+	if err == nil && response.ID != id {
+		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
+	}
+	if errors.Is(err, requester.ErrMismatch) {
+		logger.Log(ctx, forwarder.options.Logger, logger.EventAnswerMismatched,
+			slog.String("Runner", slot.Runner), slog.String("Request", call.request.ID), slog.String("Attempt", id), logger.Error(err))
+	}
+	return response, err
+}
+
 // runnerHealth tells faults of a runner from ends that the caller or the deadline brought.
-func runnerHealth(ctx context.Context, err error) router.Outcome {
+func (call *call) runnerHealth(ctx context.Context, err error) router.Outcome {
 	switch {
 	case errors.Is(err, requester.ErrBusy):
 		return router.OutcomeBusy
 	case errors.Is(err, requester.ErrLeaving):
 		return router.OutcomeLeaving
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case call.expired():
 		return router.OutcomeTimeout
 	case ctx.Err() != nil:
 		return router.OutcomeCancelled
@@ -214,6 +227,8 @@
 		trace.WithAttributes(attribute.String("Peer", peer)),
 	)
 	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, call.request.Deadline.Add(forwardGrace))
+	defer cancel()
 	refused := true
 	defer func() {
 		forwarder.mu.Lock()
@@ -221,6 +236,7 @@
 		call.service.peers.Return(peer, refused)
 	}()
 	id := call.nextID()
+	span.SetAttributes(attribute.String("Attempt", id))
 	reply, err := forwarder.options.Forward(ctx, peer, &peerpb.ForwardRequest{
 		Id:                 id,
 		Service:            call.request.Service,
@@ -236,12 +252,8 @@
 	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		forwarder.options.Logger.WarnContext(ctx, "forward failed",
-			slog.Int("Event", eventForwardFailed),
-			slog.String("Peer", peer),
-			slog.String("ID", id),
-			slog.String("Error", err.Error()),
-		)
+		logger.Log(ctx, forwarder.options.Logger, logger.EventForwardFailed,
+			slog.String("Peer", peer), slog.String("Request", call.request.ID), slog.String("Attempt", id), logger.Error(err))
 		if errors.Is(err, ErrNotRun) {
 			return answer{
 				outcome: retrier.NotRun{
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -31,6 +31,10 @@
 // checks readiness each second.
 const drainRetryAfter = time.Second
 
+// forwardGrace is how long the reply of a peer is awaited past the deadline. The peer itself awaits
+// the answer of its runner for requester.AnswerGrace.
+const forwardGrace = 2 * requester.AnswerGrace
+
 // ErrNotRun is what a Forward returns, wrapped or not, when the request provably did not reach
 // the peer.
 var ErrNotRun = errors.New("forward: request was not run")
@@ -41,6 +45,8 @@
 
 // Request is one interactive request.
 type Request struct {
+	// ID is unique in the cell; empty means a new one.
+	ID      string
 	Service string
 	Caller  string
 	Labels  descriptor.Labels
@@ -257,8 +263,9 @@
 	}
 }
 
-// Do runs request and returns its final fate. It returns when ctx or the deadline ends, as far as
-// the Requester does.
+// Do runs request and returns its final fate. It returns when ctx ends or, as far as the Requester
+// and Forward do, a short time after the deadline: an upstream that works until the deadline tells
+// then what became of the request.
 func (forwarder *Forwarder) Do(ctx context.Context, request Request) Result {
 	labels := descriptor.Labels{}
 	for key, value := range request.Labels {
@@ -270,8 +277,11 @@
 	if request.Deadline.IsZero() {
 		request.Deadline = time.Now().Add(treatment.Timeout)
 	}
+	if request.ID == "" {
+		request.ID = newID()
+	}
 	return forwarder.run(ctx, &call{
-		id:         newID(),
+		id:         request.ID,
 		request:    request,
 		lane:       treatment.Lane,
 		urgency:    treatment.Urgency,
@@ -288,8 +298,10 @@
 		lane = parser.LaneLong
 	}
 	result := forwarder.run(ctx, &call{
+		// The ID of the call is its own, so that a repeated forward cannot take another one's answer.
 		id: newID(),
 		request: Request{
+			ID:         rootID(request.GetId()),
 			Service:    request.GetService(),
 			Caller:     request.GetCaller(),
 			Deadline:   time.UnixMilli(request.GetDeadlineUnixMillis()),
@@ -315,7 +327,7 @@
 	ctx, span := forwarder.options.Tracer.Start(ctx, "request", trace.WithAttributes(
 		attribute.String("Service", call.request.Service),
 		attribute.String("Caller", call.request.Caller),
-		attribute.String("ID", call.id),
+		attribute.String("Request", call.request.ID),
 	))
 	defer span.End()
 	result := forwarder.admit(ctx, call)
@@ -338,8 +350,6 @@
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(call.request.Deadline) {
 		call.request.Deadline = deadline
 	}
-	ctx, cancel := context.WithDeadline(ctx, call.request.Deadline)
-	defer cancel()
 	call.service = service
 	call.tries = retrier.Request{
 		Caller:      call.request.Caller,
--- a/internal/request/forwarder/message.go
+++ b/internal/request/forwarder/message.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strings"
 	"time"
 
 	"pomelomoor/internal/member/peerpb"
@@ -8,6 +9,12 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
+// rootID returns the ID of the request that an attempt or a forward belongs to.
+func rootID(id string) string {
+	root, _, _ := strings.Cut(id, ".")
+	return root
+}
+
 // decodeReply translates a peer's reply. A fate of no known kind proves nothing.
 func decodeReply(reply *peerpb.ForwardReply) answer {
 	problem := decodeProblem(reply.GetProblem())
@@ -25,6 +32,9 @@
 			Status: max(result.status, 500),
 		}
 	case descriptor.Record(descriptor.NotRun{}).Fate:
+		if reply.GetProblem() == nil {
+			problem = descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "%s", problem.Message)
+		}
 		result.outcome = retrier.NotRun{
 			Problem: problem,
 		}
--- a/internal/request/forwarder/service.go
+++ b/internal/request/forwarder/service.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/request/queuer"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
@@ -255,10 +256,7 @@
 	service.dispatch(now)
 	service.forwarder.mu.Unlock()
 	if paused {
-		service.forwarder.options.Logger.WarnContext(ctx, "runner is paused after failures",
-			slog.Int("Event", eventRunnerPaused),
-			slog.String("Runner", slot.Runner),
-		)
+		logger.Log(ctx, service.forwarder.options.Logger, logger.EventRunnerUnhealthy, slog.String("Runner", slot.Runner))
 	}
 }
 
