--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -73,7 +74,7 @@
 	for {
 		slot, peer, problem := call.service.acquire(waiting, call)
 		if problem != nil {
-			return call.end(forwarder.abandon(call, problem), answer{})
+			return call.end(call.tries.Abandon(time.Now(), problem), answer{})
 		}
 		var answer answer
 		if peer != "" {
@@ -96,12 +97,6 @@
 	}
 }
 
-func (forwarder *Forwarder) abandon(call *call, problem *descriptor.Problem) retrier.Verdict {
-	forwarder.mu.Lock()
-	defer forwarder.mu.Unlock()
-	return forwarder.retrier.Abandon(time.Now(), &call.tries, problem)
-}
-
 func (forwarder *Forwarder) decide(ctx context.Context, call *call, outcome retrier.Outcome) retrier.Verdict {
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -151,9 +146,9 @@
 	response, err := forwarder.send(ctx, call, slot, id)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		health = call.runnerHealth(ctx, err)
+		health = call.judge(ctx, err)
 		return answer{
-			outcome: failure(err),
+			outcome: retrier.FromError(err),
 		}
 	}
 	switch {
@@ -172,6 +167,14 @@
 	}
 }
 
+// judge returns what an error of an attempt tells about the runner.
+func (call *call) judge(ctx context.Context, err error) router.Outcome {
+	if call.expired() {
+		return router.Judge(err, context.DeadlineExceeded)
+	}
+	return router.Judge(err, ctx.Err())
+}
+
 // send returns the runner's answer to the attempt. An answer to another attempt is an error.
 func (forwarder *Forwarder) send(ctx context.Context, call *call, slot router.Slot, id string) (requester.Response, error) {
 	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
@@ -192,34 +195,6 @@
 	return response, err
 }
 
-// runnerHealth tells faults of a runner from ends that the caller or the deadline brought.
-func (call *call) runnerHealth(ctx context.Context, err error) router.Outcome {
-	switch {
-	case errors.Is(err, requester.ErrBusy):
-		return router.OutcomeBusy
-	case errors.Is(err, requester.ErrLeaving):
-		return router.OutcomeLeaving
-	case call.expired():
-		return router.OutcomeTimeout
-	case ctx.Err() != nil:
-		return router.OutcomeCancelled
-	default:
-		return router.OutcomeFailure
-	}
-}
-
-// failure translates an error of a runner. An error of no known kind proves nothing.
-func failure(err error) retrier.Outcome {
-	if errors.Is(err, requester.ErrNotRun) {
-		return retrier.NotRun{
-			Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "request was not run: %v", err),
-		}
-	}
-	return retrier.Uncertain{
-		Reason: fmt.Sprintf("request may have run: %v", err),
-	}
-}
-
 // forward hands the request to a peer.
 func (forwarder *Forwarder) forward(ctx context.Context, call *call, peer string) answer {
 	ctx, span := forwarder.options.Tracer.Start(ctx, "peer",
@@ -237,16 +212,7 @@
 	}()
 	id := call.nextID()
 	span.SetAttributes(attribute.String("Attempt", id))
-	reply, err := forwarder.options.Forward(ctx, peer, &peerpb.ForwardRequest{
-		Id:                 id,
-		Service:            call.request.Service,
-		Caller:             call.request.Caller,
-		Lane:               string(call.lane),
-		DeadlineUnixMillis: call.request.Deadline.UnixMilli(),
-		Idempotent:         call.request.Idempotent,
-		Body:               call.request.Body,
-		Urgency:            string(call.urgency),
-	})
+	reply, err := forwarder.options.Forward(ctx, peer, call.message(id))
 	if err == nil && reply.GetId() != id {
 		err = errors.Errorf("reply carries %q", reply.GetId())
 	}
@@ -254,20 +220,42 @@
 		span.SetStatus(codes.Error, err.Error())
 		logger.Log(ctx, forwarder.options.Logger, logger.EventForwardFailed,
 			slog.String("Peer", peer), slog.String("Request", call.request.ID), slog.String("Attempt", id), logger.Error(err))
+		outcome := retrier.Outcome(retrier.Uncertain{
+			Reason: fmt.Sprintf("peer may have run the request: %v", err),
+		})
 		if errors.Is(err, ErrNotRun) {
-			return answer{
-				outcome: retrier.NotRun{
-					Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "peer was not reached: %v", err),
-				},
+			outcome = retrier.NotRun{
+				Problem: descriptor.NewProblem(descriptor.CodeUnavailable, drainRetryAfter, "peer was not reached: %v", err),
 			}
 		}
 		return answer{
-			outcome: retrier.Uncertain{
-				Reason: fmt.Sprintf("peer may have run the request: %v", err),
-			},
+			outcome: outcome,
 		}
 	}
-	result := decodeReply(reply)
-	_, refused = result.outcome.(retrier.NotRun)
-	return result
+	outcome := retrier.FromReply(reply)
+	_, refused = outcome.(retrier.NotRun)
+	return answer{
+		outcome: outcome,
+		status:  int(reply.GetStatus()),
+		body:    reply.GetBody(),
+	}
+}
+
+func (call *call) message(id string) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		Id:                 id,
+		Service:            call.request.Service,
+		Caller:             call.request.Caller,
+		Lane:               string(call.lane),
+		DeadlineUnixMillis: call.request.Deadline.UnixMilli(),
+		Idempotent:         call.request.Idempotent,
+		Body:               call.request.Body,
+		Urgency:            string(call.urgency),
+	}
+}
+
+// rootID returns the ID of the request that an attempt or a forward belongs to.
+func rootID(id string) string {
+	root, _, _ := strings.Cut(id, ".")
+	return root
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -139,8 +138,12 @@
 	forwarder.config.Store(config)
 }
 
-// SetInstances takes the platform's list. Only runners of the own region are used.
+// SetInstances takes the platform's list. Only runners of the own region are used. A list without
+// Instances is an unchanged one and has no effect.
 func (forwarder *Forwarder) SetInstances(list lister.List) {
+	if list.Instances == nil {
+		return
+	}
 	runners := map[string][]router.Runner{}
 	for _, instance := range list.Instances {
 		if instance.Role != lister.RoleRunner {
@@ -169,7 +172,7 @@
 		own, listed := runners[name]
 		service.router.SetRunners(now, own)
 		service.dispatch(now)
-		if !listed && service.unused() {
+		if !listed && service.waiting() == 0 && service.router.Idle() {
 			service.disarm()
 			delete(forwarder.services, name)
 		}
@@ -278,7 +281,8 @@
 		request.Deadline = time.Now().Add(treatment.Timeout)
 	}
 	if request.ID == "" {
-		request.ID = newID()
+		// The ID is random, so that no other request of any instance has it.
+		request.ID = rand.Text()
 	}
 	return forwarder.run(ctx, &call{
 		id:         request.ID,
@@ -299,7 +303,7 @@
 	}
 	result := forwarder.run(ctx, &call{
 		// The ID of the call is its own, so that a repeated forward cannot take another one's answer.
-		id: newID(),
+		id: rand.Text(),
 		request: Request{
 			ID:         rootID(request.GetId()),
 			Service:    request.GetService(),
@@ -318,7 +322,7 @@
 		Status:  uint32(result.Status),
 		Body:    result.Body,
 		Id:      request.GetId(),
-		Problem: encodeProblem(result.Problem),
+		Problem: retrier.EncodeProblem(result.Problem),
 	}
 }
 
@@ -362,11 +366,3 @@
 	service.metrics.end(result, time.Since(started))
 	return result
 }
-
-// newID returns an ID that no other request of any instance has.
-func newID() string {
-	var random [16]byte
-	// rand.Read never returns an error.
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
