Wait for the end of a job with one call

GET /v1/jobs/{id}?Wait=10s answers when the job's fate is final, after the wait (at most 30 s), or when the instance begins a planned stop. The wait is carried to the owner of the shard and goes on at the next owner when the shard moves. Waiting calls have a limit of their own, an eighth of Limits.Calls, so that they do not lock out control calls.

--- a/internal/client/caller/calls.go
+++ b/internal/client/caller/calls.go
@@ -47,6 +47,17 @@
 	return status, err
 }
 
+// Await returns the state of a job when its fate is final or after wait, at most presenter.MaxJobWait.
+func (client *Client) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
+	wait = min(wait, presenter.MaxJobWait)
+	query := url.Values{}
+	query.Set("Wait", wait.String())
+	waiting := get("/v1/jobs/" + url.PathEscape(string(id)) + "?" + query.Encode())
+	waiting.extra = wait
+	status, _, err := document[descriptor.JobStatus](ctx, client, waiting)
+	return status, err
+}
+
 func get(path string) call {
 	return call{
 		method:     http.MethodGet,
--- a/internal/client/commander/commands.go
+++ b/internal/client/commander/commands.go
@@ -96,7 +96,7 @@
 	File string        `arg:"" help:"Job description in JSON; - is standard input."`
 	Key  string        `help:"Idempotency key; it replaces the one in the file. Without any, a random one is used."`
 	Wait bool          `help:"Wait until the job has ended and print its state."`
-	Poll time.Duration `default:"1s" help:"Time between queries of --wait."`
+	Poll time.Duration `default:"1s" help:"Least time between queries of --wait. A query itself lasts until the job has ended or some seconds have passed."`
 }
 
 func (command *submitCommand) Run(session *session) error {
@@ -125,6 +125,9 @@
 	return session.await(status, command.Poll)
 }
 
+// queryWait is the longest time of one query that waits for a job.
+const queryWait = 10 * time.Second
+
 // await queries a job until its fate is final or unknown, and prints it.
 func (session *session) await(status descriptor.JobStatus, poll time.Duration) error {
 	for {
@@ -136,10 +139,7 @@
 		case "Failed", "NotRun":
 			code = ExitNotDone
 		default:
-			if err := caller.Sleep(session.ctx, poll); err != nil {
-				return errors.Wrapf(err, "the wait for job %s ended", status.ID)
-			}
-			next, err := session.client.Status(session.ctx, status.ID, false)
+			next, err := session.query(status.ID, poll)
 			if err != nil {
 				return err
 			}
@@ -156,11 +156,34 @@
 	}
 }
 
+// query asks once with a wait. It takes at least poll when the job has not ended, since an instance that
+// stops ends the waits of its callers.
+func (session *session) query(id descriptor.JobID, poll time.Duration) (descriptor.JobStatus, error) {
+	asked := time.Now()
+	status, err := session.client.Await(session.ctx, id, queryWait)
+	if err != nil || status.Fate.Final() {
+		return status, err
+	}
+	if err := caller.Sleep(session.ctx, time.Until(asked.Add(poll))); err != nil {
+		return status, errors.Wrapf(err, "the wait for job %s ended", id)
+	}
+	return status, nil
+}
+
 type statusCommand struct {
-	ID descriptor.JobID `arg:"" help:"ID of the job."`
+	ID   descriptor.JobID `arg:"" help:"ID of the job."`
+	Wait bool             `help:"Wait until the job has ended."`
+	Poll time.Duration    `default:"1s" help:"Least time between queries of --wait."`
 }
 
 func (command *statusCommand) Run(session *session) error {
+	if command.Wait {
+		status, err := session.client.Status(session.ctx, command.ID, false)
+		if err != nil {
+			return err
+		}
+		return session.await(status, command.Poll)
+	}
 	return session.show(session.client.Status(session.ctx, command.ID, false))
 }
 
--- a/internal/client/commander/scripts_test.go
+++ b/internal/client/commander/scripts_test.go
@@ -95,6 +95,14 @@
 	return status, nil
 }
 
+// Await must be told a wait that an instance accepts.
+func (cell *cell) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
+	if wait <= 0 {
+		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeInternal, 0, "no wait")
+	}
+	return cell.Status(ctx, id, false)
+}
+
 func (cell *cell) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
 	return cell.Status(ctx, id, false)
 }
--- a/internal/entry/adapter/adapter.go
+++ b/internal/entry/adapter/adapter.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"pomelomoor/internal/entry/dispatcher"
 	"pomelomoor/internal/entry/presenter"
@@ -26,6 +27,11 @@
 	return jobs.Dispatcher.Status(ctx, id, explain)
 }
 
+// Await implements handler.Jobs.
+func (jobs Jobs) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
+	return jobs.Dispatcher.Await(ctx, id, wait)
+}
+
 // Cancel implements handler.Jobs.
 func (jobs Jobs) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
 	return jobs.Dispatcher.Cancel(ctx, id)
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -83,6 +83,7 @@
 	ready     atomic.Bool
 	draining  atomic.Bool
 	drain     chan struct{}
+	stopping  chan struct{}
 	drainOnce sync.Once
 	cleanups  []func()
 }
@@ -94,6 +95,7 @@
 		options:  options,
 		settings: options.Settings,
 		drain:    make(chan struct{}),
+		stopping: make(chan struct{}),
 	}
 	if err := entry.build(); err != nil {
 		entry.close()
@@ -299,7 +301,8 @@
 		Client: func(location dispatcher.Location) (peerpb.PeerClient, error) {
 			return entry.messenger.Client(location.Address, location.Region)
 		},
-		Rank: entry.shards.rank,
+		Rank:     entry.shards.rank,
+		Stopping: entry.stopping,
 	})
 }
 
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -194,6 +194,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Timeouts.Drain.Duration)
 	defer cancel()
 	entry.draining.Store(true)
+	close(entry.stopping)
 	logger.Log(ctx, entry.log, logger.EventDraining)
 	entry.exchanger.SetLeaving(ctx)
 	notice := time.NewTimer(noticeTime)
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -43,6 +43,8 @@
 	// Accept makes the job durable.
 	Accept(ctx context.Context, id descriptor.JobID, job descriptor.Job) error
 	Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error)
+	// Await returns when the job's fate is final or ctx ends, with the state at that time.
+	Await(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error)
 	Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error)
 }
 
@@ -66,6 +68,8 @@
 	Rank func(*descriptor.Job) []descriptor.ShardID
 	// Patience bounds how long a call waits for a shard to get an owner.
 	Patience time.Duration
+	// Stopping is closed when a planned stop begins, which ends all waits for jobs; nil means never.
+	Stopping <-chan struct{}
 }
 
 // Dispatcher routes jobs.
@@ -219,7 +223,7 @@
 
 // Status returns the state of a job, with its trail of decisions if explain is set.
 func (dispatcher *Dispatcher) Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, harmless, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, dispatcher.options.Patience, harmless, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Status(ctx, id, explain)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Query(ctx, &peerpb.QueryRequest{
@@ -231,7 +235,7 @@
 
 // Cancel cancels a job. Cancelling twice is the same as once.
 func (dispatcher *Dispatcher) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, effective, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, dispatcher.options.Patience, effective, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Cancel(ctx, id)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Cancel(ctx, &peerpb.QueryRequest{
@@ -240,7 +244,7 @@
 	})
 }
 
-func (dispatcher *Dispatcher) ask(ctx context.Context, effect effect, id descriptor.JobID,
+func (dispatcher *Dispatcher) ask(ctx context.Context, patience time.Duration, effect effect, id descriptor.JobID,
 	local func(context.Context, Owner) (descriptor.JobStatus, error),
 	remote func(context.Context, peerpb.PeerClient) (*peerpb.QueryReply, error),
 ) (descriptor.JobStatus, error) {
@@ -249,7 +253,7 @@
 		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeNotFound, 0, "no job %q", id)
 	}
 	var result descriptor.JobStatus
-	err := dispatcher.retry(ctx, effect, func(ctx context.Context) error {
+	err := dispatcher.retryFor(ctx, patience, effect, func(ctx context.Context) error {
 		if owner, ok := dispatcher.options.Local(shard); ok {
 			var err error
 			result, err = local(ctx, owner)
@@ -308,7 +312,13 @@
 // retry repeats call while the shard has no owner that answers, until the patience or ctx ends.
 // All calls can be repeated.
 func (dispatcher *Dispatcher) retry(ctx context.Context, effect effect, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, dispatcher.options.Patience)
+	return dispatcher.retryFor(ctx, dispatcher.options.Patience, effect, call)
+}
+
+func (dispatcher *Dispatcher) retryFor(
+	ctx context.Context, patience time.Duration, effect effect, call func(context.Context) error,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	uncertain := false
 	for {
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
 
+	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -39,6 +43,15 @@
 	return descriptor.JobStatus{}, owner.Accept(context.Background(), "", descriptor.Job{})
 }
 
+// Await ends with ctx, as for a job that runs.
+func (owner *owner) Await(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
+	if err := owner.Accept(ctx, id, descriptor.Job{}); err != nil {
+		return descriptor.JobStatus{}, err
+	}
+	<-ctx.Done()
+	return descriptor.JobStatus{ID: id}, nil
+}
+
 func newDispatcher(owner *owner) *Dispatcher {
 	return New(Options{
 		Shards:   []Shard{{ID: "a-0"}},
@@ -97,3 +110,59 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// peer carries questions to another dispatcher, as gRPC does.
+type peer struct {
+	peerpb.PeerClient
+
+	dispatcher *Dispatcher
+	waits      []int64
+}
+
+func (peer *peer) Query(ctx context.Context, request *peerpb.QueryRequest, _ ...grpc.CallOption) (*peerpb.QueryReply, error) {
+	peer.waits = append(peer.waits, request.GetWaitMillis())
+	reply := peer.dispatcher.ServeQuery(ctx, request)
+	return reply, context.Cause(ctx)
+}
+
+// TestAwait guards against waits that end too early when the shard moves, that hold up a planned stop,
+// and that are not carried to the owner.
+func TestAwait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local := newDispatcher(&owner{
+			problems: []descriptor.Code{"Unavailable", ""},
+		})
+		remote := &peer{
+			dispatcher: local,
+		}
+		stopping := make(chan struct{})
+		asking := New(Options{
+			Shards:   local.options.Shards,
+			Local:    func(descriptor.ShardID) (Owner, bool) { return nil, false },
+			Locate:   func(descriptor.ShardID) (Location, bool) { return Location{}, true },
+			Client:   func(Location) (peerpb.PeerClient, error) { return remote, nil },
+			Stopping: stopping,
+		})
+		began := time.Now()
+		status, err := asking.Await(t.Context(), "a-0.1", 20*time.Second)
+		if err != nil || status.ID != "a-0.1" || time.Since(began) != 20*time.Second {
+			t.Errorf("after %s: got %v, %v", time.Since(began), status.ID, err)
+		}
+		if len(remote.waits) != 2 || remote.waits[1] != 19900 {
+			t.Errorf("waits at the owner: %v", remote.waits)
+		}
+		began = time.Now()
+		time.AfterFunc(time.Second, func() {
+			close(stopping)
+		})
+		if _, err := asking.Await(t.Context(), "a-0.1", 20*time.Second); err != nil || time.Since(began) != time.Second {
+			t.Errorf("planned stop: after %s: got %v", time.Since(began), err)
+		}
+		if reply := local.ServeQuery(t.Context(), &peerpb.QueryRequest{Job: "a-0.1", WaitMillis: 1 << 62}); reply.GetProblem() != nil {
+			t.Errorf("got %v", reply.GetProblem())
+		}
+		if waited := time.Since(began); waited != 31*time.Second {
+			t.Errorf("a wait without bound took %s", waited)
+		}
+	})
+}
--- a/internal/entry/dispatcher/server.go
+++ b/internal/entry/dispatcher/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
+	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -66,6 +68,11 @@
 // ServeQuery answers a question about a job of a shard owned here.
 func (dispatcher *Dispatcher) ServeQuery(ctx context.Context, request *peerpb.QueryRequest) *peerpb.QueryReply {
 	return dispatcher.serveQuestion(request, func(owner Owner) (descriptor.JobStatus, error) {
+		if wait := request.GetWaitMillis(); wait > 0 {
+			// A peer that asks for longer asks again.
+			wait = min(wait, presenter.MaxJobWait.Milliseconds())
+			return dispatcher.awaitLocal(ctx, owner, descriptor.JobID(request.GetJob()), time.Duration(wait)*time.Millisecond)
+		}
 		return owner.Status(ctx, descriptor.JobID(request.GetJob()), request.GetExplain())
 	})
 }
--- a/internal/entry/handler/control.go
+++ b/internal/entry/handler/control.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/presenter"
@@ -42,14 +41,9 @@
 			"the query parameter Base must be the revision that the document is based on; 0 is the first"))
 		return
 	}
-	var wait time.Duration
-	if text := query.Get("Wait"); text != "" {
-		wait, err = time.ParseDuration(text)
-		if err != nil || wait < 0 || wait > presenter.MaxApplyWait {
-			server.failBody(writer, request, descriptor.NewProblem(descriptor.CodeInvalid, 0,
-				"the query parameter Wait must be a duration up to %s", presenter.MaxApplyWait))
-			return
-		}
+	wait, ok := server.wait(writer, request, presenter.MaxApplyWait)
+	if !ok {
+		return
 	}
 	config, ok := server.readConfig(writer, request)
 	if !ok {
--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -25,6 +25,8 @@
 	Submit(ctx context.Context, job descriptor.Job) (status descriptor.JobStatus, created bool, err error)
 	// Status returns the state of a job, with its trail when explain is set.
 	Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error)
+	// Await returns the state of a job when its fate is final or after wait.
+	Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error)
 	// Cancel asks for the end of a job. Cancelling twice, or a job that ended, is no error.
 	Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error)
 }
@@ -90,13 +92,15 @@
 type server struct {
 	Handler
 
-	// work is the gate of submissions and requests, control that of all other calls.
-	// Control calls have room of their own so that operators can act during an overload.
+	// work is the gate of submissions and requests, waits that of calls that wait for a job, and control
+	// that of all other calls. Control calls have room of their own so that operators can act during an
+	// overload, also while many callers wait for their jobs.
 	work    gate
+	waits   gate
 	control gate
 }
 
-// controlShare is the part of the limits that control calls have in addition.
+// controlShare is the part of the limits that control calls have in addition, and waits as well.
 const controlShare = 8
 
 func (handler *Handler) server() *server {
@@ -118,6 +122,9 @@
 		calls: semaphore.NewWeighted(calls),
 		bytes: semaphore.NewWeighted(bytes),
 	}
+	server.waits = gate{
+		calls: semaphore.NewWeighted(max(calls/controlShare, 1)),
+	}
 	server.control = gate{
 		calls: semaphore.NewWeighted(max(calls/controlShare, 1)),
 		bytes: semaphore.NewWeighted(max(bytes/controlShare, 2*parser.MaxDocument)),
@@ -139,9 +146,9 @@
 		router.Post("/v1/jobs", server.submit)
 		router.Post("/v1/requests/{service}", server.request)
 	})
+	router.With(server.admitStatus).Get("/v1/jobs/{id}", server.status)
 	router.Group(func(router chi.Router) {
 		router.Use(server.admit(server.control))
-		router.Get("/v1/jobs/{id}", server.status)
 		router.Get("/v1/jobs/{id}/explain", server.explain)
 		router.Delete("/v1/jobs/{id}", server.cancel)
 		router.Get("/v1/config", server.config)
--- a/internal/entry/handler/handler_test.go
+++ b/internal/entry/handler/handler_test.go
@@ -36,6 +36,13 @@
 	return descriptor.JobStatus{ID: id}, backend.err
 }
 
+func (backend *backend) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
+	if backend.handle != nil {
+		backend.handle(ctx)
+	}
+	return descriptor.JobStatus{ID: id, Tasks: []descriptor.TaskStatus{{Task: int(wait.Seconds())}}}, backend.err
+}
+
 func (backend *backend) Cancel(_ context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
 	return descriptor.JobStatus{ID: id}, backend.err
 }
@@ -178,6 +185,11 @@
 		{"bad ID", call("GET /v1/jobs/%2e%2e", "", ""), nil, 404, "NotFound"},
 		{"no path", call("GET /v2/", "", ""), nil, 404, "NotFound"},
 		{"method", call("PATCH /v1/jobs", "", ""), nil, 405, "Invalid"},
+		{"wait for job", call("GET /v1/jobs/a-0.1?Wait=30s", "", ""), nil, 200, "Task:30"},
+		{"no wait for job", call("GET /v1/jobs/a-0.1?Wait=0s", "", ""), nil, 200, "a-0.1"},
+		{"long wait for job", call("GET /v1/jobs/a-0.1?Wait=31s", "", ""), nil, 400, "Invalid"},
+		{"wait for bad ID", call("GET /v1/jobs/%2e%2e?Wait=1s", "", ""), nil, 404, "NotFound"},
+		{"failed wait for job", call("GET /v1/jobs/a-0.1?Wait=1s", "", ""), fail(descriptor.CodeUnavailable), 503, "Unavailable"},
 		{"explain", call("GET /v1/jobs/a-0.1/explain", "", ""), nil, 200, "a-0.1"},
 		{"cancel", call("DELETE /v1/jobs/a-0.1", "", ""), fail(descriptor.CodeUncertain), 500, "Uncertain"},
 		{"foreign error", get, errors.New("secret"), 500, "Internal"},
@@ -291,13 +303,20 @@
 		handler.Limits.BufferBytes = bodyStep
 	})
 	results := make(chan int)
-	for range 2 {
+	wait := call("GET /v1/jobs/a-0.1?Wait=30s", "", "")
+	for _, text := range []string{call("POST /v1/requests/desk", caller, ""), call("POST /v1/requests/desk", caller, ""), wait} {
 		go func() {
-			response, _ := exchange(t, address, call("POST /v1/requests/desk", caller, ""))
+			response, _ := exchange(t, address, text)
 			results <- response.StatusCode
 		}()
 		<-entered
 	}
+	if response, document := exchange(t, address, wait); document["Code"] != "Overloaded" {
+		t.Errorf("second wait: %d %v", response.StatusCode, document)
+	}
+	if response, document := exchange(t, address, call("GET /v1/jobs/a-0.1", "", "")); response.StatusCode != http.StatusOK {
+		t.Errorf("status while others wait: %d %v", response.StatusCode, document)
+	}
 	if response, document := exchange(t, address, call("POST /v1/requests/desk", caller, "")); document["Code"] != "Overloaded" {
 		t.Errorf("third call: %d %v", response.StatusCode, document)
 	}
@@ -305,7 +324,7 @@
 		t.Errorf("apply during an overload: %d %v", response.StatusCode, document)
 	}
 	close(release)
-	for range 2 {
+	for range 3 {
 		if status := <-results; status != 200 {
 			t.Errorf("admitted call got %d", status)
 		}
--- a/internal/entry/handler/jobs.go
+++ b/internal/entry/handler/jobs.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"regexp"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -48,7 +49,43 @@
 }
 
 func (server *server) status(writer http.ResponseWriter, request *http.Request) {
-	server.answerStatus(writer, request, false)
+	wait, ok := server.wait(writer, request, presenter.MaxJobWait)
+	switch {
+	case !ok:
+	case wait > 0:
+		server.await(writer, request, wait)
+	default:
+		server.answerStatus(writer, request, false)
+	}
+}
+
+// await answers when the job's fate is final or the wait ends.
+func (server *server) await(writer http.ResponseWriter, request *http.Request, wait time.Duration) {
+	id, ok := server.jobID(writer, request)
+	if !ok {
+		return
+	}
+	status, err := server.Jobs.Await(request.Context(), id, wait)
+	if err != nil {
+		server.fail(writer, request, err)
+		return
+	}
+	server.answer(writer, http.StatusOK, status)
+}
+
+// wait returns the query parameter Wait, which may be absent, or answers that it is wrong.
+func (server *server) wait(writer http.ResponseWriter, request *http.Request, longest time.Duration) (time.Duration, bool) {
+	text := request.URL.Query().Get("Wait")
+	if text == "" {
+		return 0, true
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > longest {
+		server.failBody(writer, request, descriptor.NewProblem(descriptor.CodeInvalid, 0,
+			"the query parameter Wait must be a duration up to %s", longest))
+		return 0, false
+	}
+	return wait, true
 }
 
 func (server *server) explain(writer http.ResponseWriter, request *http.Request) {
--- a/internal/entry/handler/middleware.go
+++ b/internal/entry/handler/middleware.go
@@ -155,6 +155,18 @@
 	})
 }
 
+// admitStatus bounds the questions about jobs: those that wait apart from the others.
+func (server *server) admitStatus(next http.Handler) http.Handler {
+	control, waits := server.admit(server.control)(next), server.admit(server.waits)(next)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Query().Has("Wait") {
+			waits.ServeHTTP(writer, request)
+			return
+		}
+		control.ServeHTTP(writer, request)
+	})
+}
+
 // admit bounds the calls in progress.
 func (server *server) admit(gate gate) func(next http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
--- a/internal/entry/presenter/parse.go
+++ b/internal/entry/presenter/parse.go
@@ -19,6 +19,7 @@
 const (
 	MaxTimeout   = 10 * time.Minute
 	MaxApplyWait = time.Minute
+	MaxJobWait   = 30 * time.Second
 )
 
 // MaxJobDocument is the largest job description in bytes. Escapes may make the payload six times as long.
--- a/internal/local/coordinator/fake_test.go
+++ b/internal/local/coordinator/fake_test.go
@@ -194,6 +194,21 @@
 	return created.status, true, nil
 }
 
+func (instance *instance) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
+	instance.cell.mutex.Lock()
+	awaited := instance.cell.jobs[id]
+	instance.cell.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if awaited != nil {
+		select {
+		case <-awaited.ended:
+		case <-ctx.Done():
+		}
+	}
+	return instance.Status(ctx, id, false)
+}
+
 func (instance *instance) runJob(ctx context.Context, job *job) {
 	defer close(job.ended)
 	fates := make([]descriptor.Fate, job.status.Job.TaskCount())
--- a/internal/local/submitter/jobs.go
+++ b/internal/local/submitter/jobs.go
@@ -16,6 +16,8 @@
 	followEvery = 50 * time.Millisecond
 	firstPoll   = 300 * time.Millisecond
 	longestPoll = 2 * time.Second
+	// longestWait bounds a call that waits for the end of a job.
+	longestWait = 10 * time.Second
 	// serviceTail is left for the end of the services, when other jobs keep the run waiting.
 	serviceTail = 6 * time.Second
 )
@@ -31,8 +33,10 @@
 	// pollAt is when the fate is asked for next, interval after the last time.
 	pollAt   time.Time
 	interval time.Duration
-	// busy means that a call about the job is in progress.
-	busy bool
+	// busy means that a short call about the job is in progress, and waiting that one is that ends with
+	// the job.
+	busy    bool
+	waiting bool
 }
 
 func (submitter *Submitter) prepareJobs() {
@@ -156,6 +160,7 @@
 // follow cancels and asks for fates until all are final or ctx ends.
 func (submitter *Submitter) follow(ctx context.Context) {
 	slots := make(chan struct{}, maxPolls)
+	waits := make(chan struct{}, maxWaits)
 	var group sync.WaitGroup
 	defer group.Wait()
 	open := slices.Clone(submitter.jobs)
@@ -165,6 +170,17 @@
 			submitter.endServices(open)
 		}
 		for _, job := range open {
+			if submitter.mayWait(job) {
+				select {
+				case waits <- struct{}{}:
+					submitter.setWaiting(job, true)
+					group.Go(func() {
+						submitter.await(ctx, job)
+						<-waits
+					})
+				default:
+				}
+			}
 			action := submitter.next(job)
 			if action == nil {
 				continue
@@ -187,15 +203,43 @@
 	if !job.seen.Accepted {
 		return true
 	}
-	final := isFinal(job.seen.Fate.Fate)
+	final := job.seen.Fate.Final()
 	if final {
 		submitter.counts.final.Add(1)
 	}
 	return final
 }
 
-func isFinal(fate string) bool {
-	return fate == "Done" || fate == "NotRun" || fate == "Failed"
+// endless reports whether the job ends only by a cancellation that has not been accepted yet. It is
+// asked for now and then, as a wait for its end would be in vain.
+func (job *job) endless() bool {
+	return job.plan.Job.Kind == descriptor.KindService && !job.seen.CancelAccepted
+}
+
+// mayWait reports whether a call should wait for the end of the job from now on.
+func (submitter *Submitter) mayWait(job *job) bool {
+	submitter.mutex.Lock()
+	defer submitter.mutex.Unlock()
+	return job.seen.Accepted && !job.waiting && !job.busy && !job.endless() && !job.seen.Fate.Final() &&
+		!time.Now().Before(job.pollAt)
+}
+
+func (submitter *Submitter) setWaiting(job *job, waiting bool) {
+	submitter.mutex.Lock()
+	defer submitter.mutex.Unlock()
+	job.waiting = waiting
+}
+
+// await asks for the fate with a call that lasts until the job ends or some seconds have passed.
+func (submitter *Submitter) await(ctx context.Context, job *job) {
+	status, err := submitter.client(job.site, job.plan.Job.Caller).Await(ctx, job.seen.ID, longestWait)
+	submitter.mutex.Lock()
+	defer submitter.mutex.Unlock()
+	job.waiting = false
+	job.pollAt = time.Now().Add(firstPoll)
+	if err == nil && !job.seen.Fate.Final() {
+		job.seen.Fate = status.Fate
+	}
 }
 
 // servicesOnly reports whether it is time to end the services: the schedule is over, and no other
@@ -234,7 +278,7 @@
 		job.busy = true
 		return submitter.cancel
 	}
-	if now.Before(job.pollAt) || isFinal(job.seen.Fate.Fate) {
+	if now.Before(job.pollAt) || job.seen.Fate.Final() || !job.endless() {
 		return nil
 	}
 	job.busy = true
--- a/internal/local/submitter/submitter.go
+++ b/internal/local/submitter/submitter.go
@@ -25,6 +25,8 @@
 	maxRequests    = 4096
 	maxSubmissions = 256
 	maxPolls       = 64
+	// maxWaits is an eighth of what an entry instance takes, so that one of eight can have them all.
+	maxWaits = 512
 	// clientsPerSite is the number of connection pools at each site. One pool would reuse its latest
 	// connection most, and so send most calls to one entry instance.
 	clientsPerSite = 16
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -90,6 +90,8 @@
 	load    atomic.Pointer[Load]
 	serving sync.WaitGroup
 
+	awaits awaits
+
 	mutex     sync.Mutex
 	config    *parser.Compiled
 	instances *lister.List
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -160,13 +160,13 @@
 // bench is a driver with its surroundings.
 type bench struct {
 	*Driver
-	t         *testing.T
+	t         testing.TB
 	store     *memoryStore
 	worker    *memoryWorker
 	authority atomic.Int64
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	return &bench{
 		t: t,
 		store: &memoryStore{
--- a/internal/work/descriptor/fate.go
+++ b/internal/work/descriptor/fate.go
@@ -55,6 +55,16 @@
 	Reason string    `json:",omitempty"`
 }
 
+// Final reports whether the fate never changes again.
+func (record FateRecord) Final() bool {
+	switch record.Fate {
+	case "Done", "NotRun", "Failed":
+		return true
+	default:
+		return false
+	}
+}
+
 // Record returns the document form of fate. A nil fate counts as Pending.
 func Record(fate Fate) FateRecord {
 	switch fate := fate.(type) {
