--- /dev/null
+++ b/cmd/pomelomoor/main_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/work/descriptor"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"pomelomoor": func() {
+			os.Exit(run())
+		},
+	})
+}
+
+// TestOperations guards against steps of docs/operations.md, and of the pages about jobs and selectors,
+// that do not work. The steps run against processes on loopback.
+func TestOperations(t *testing.T) {
+	programs := t.TempDir()
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", programs, "pomelomoor/cmd/standin")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":      start,
+			"end":        end,
+			"expand":     expand,
+			"eventually": eventually,
+		},
+	})
+}
+
+// process is a program in the background.
+type process struct {
+	*exec.Cmd
+
+	ended chan error
+}
+
+var processes = map[string]*process{}
+
+// start NAME PROGRAM ARGS runs a program and sets NAME to the address that it prints first.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	path, err := exec.LookPath(args[1])
+	if found := lookIn(ts.Getenv("PATH"), args[1]); found != "" {
+		path, err = found, nil
+	}
+	ts.Check(err)
+	command := exec.CommandContext(context.Background(), path, args[2:]...)
+	command.Dir = ts.Getenv("WORK")
+	command.Env = append(os.Environ(), "TESTSCRIPT_COMMAND="+args[1])
+	output, err := command.StdoutPipe()
+	ts.Check(err)
+	ts.Check(command.Start())
+	started := &process{
+		Cmd:   command,
+		ended: make(chan error, 1),
+	}
+	processes[args[0]] = started
+	reader := bufio.NewReader(output)
+	line, err := reader.ReadBytes('\n')
+	ts.Check(err)
+	go func() {
+		started.ended <- command.Wait()
+	}()
+	ts.Defer(func() {
+		_ = command.Process.Kill()
+	})
+	var told struct {
+		Address, HTTP, Instance string
+		Peer                    netip.AddrPort
+	}
+	ts.Check(json.Unmarshal(line, &told))
+	ts.Setenv(args[0], told.Address+told.HTTP)
+	if told.Instance != "" {
+		announce(ts, told.Instance, told.Peer)
+	}
+}
+
+// announce keeps an entry instance on the list, as the platform does.
+func announce(ts *testscript.TestScript, id string, peer netip.AddrPort) {
+	client, closeIdle, err := lister.Dial([]netip.AddrPort{netip.MustParseAddrPort(ts.Getenv("store"))}, lister.Options{})
+	ts.Check(err)
+	_, silence := lister.StartAnnouncing(client, lister.Instance{
+		ID:      id,
+		Role:    lister.RoleEntry,
+		State:   lister.StateLive,
+		Address: peer,
+		Place: descriptor.Place{
+			Region: "kigali",
+			Site:   "kigali-a",
+		},
+	}, 0)
+	ts.Defer(func() {
+		silence()
+		closeIdle()
+	})
+}
+
+func lookIn(path, program string) string {
+	for _, directory := range filepath.SplitList(path) {
+		found := filepath.Join(directory, program)
+		if _, err := os.Stat(found); err == nil {
+			return found
+		}
+	}
+	return ""
+}
+
+// end NAME sends SIGTERM, as the platform does, and expects a clean exit. With "drained" it sends nothing.
+func end(ts *testscript.TestScript, _ bool, args []string) {
+	stopped := processes[args[0]]
+	if len(args) == 1 {
+		ts.Check(stopped.Process.Signal(syscall.SIGTERM))
+	}
+	ts.Check(<-stopped.ended)
+}
+
+// expand FILE... replaces $NAME in files.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, file := range args {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o644))
+	}
+}
+
+// eventually TEXT PROGRAM ARGS repeats a command until its output contains TEXT.
+func eventually(ts *testscript.TestScript, _ bool, args []string) {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+		if ts.Exec(args[1], args[2:]...) == nil && strings.Contains(ts.ReadFile("stdout"), args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("%q did not appear", args[0])
+}
