--- a/internal/request/retrier/outcome.go
+++ b/internal/request/retrier/outcome.go
@@ -36,6 +36,9 @@
 			Status: max(int(reply.GetStatus()), 500),
 		}
 	case descriptor.Record(descriptor.NotRun{}).Fate:
+		if reply.GetProblem() == nil {
+			problem = descriptor.NewProblem(descriptor.CodeUnavailable, retryAfter, "%s", problem.Message)
+		}
 		return NotRun{
 			Problem: problem,
 		}
