--- a/integration/history_test.go
+++ b/integration/history_test.go
@@ -81,6 +81,10 @@
 				return err
 			}
 			states[i] = status
+			final := []string{"Done", "NotRun", "Failed"}
+			if slices.Contains(final, status.Fate.Fate) && !slices.Contains(fates, status.Fate.Fate) {
+				cell.t.Fatalf("job %s is %s: %s; trail %v", id, status.Fate.Fate, status.Fate.Reason, status.Trail)
+			}
 			if !slices.Contains(fates, status.Fate.Fate) {
 				return fmt.Errorf("job %s is %s: %s; trail %v", id, status.Fate.Fate, status.Fate.Reason, status.Trail)
 			}
