Keep workers nearly full across the loss of owners

With short tasks only, no task ran any more when the next owner took over: the test stayed green when the controller did not reserve the room of the tasks that it found. Long tasks now outlast the owners, and that fault turns the test red.

--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -14,8 +14,11 @@
 		Entries: 3,
 		Workers: 3,
 	})
-	var ids []descriptor.JobID
-	for i := range 24 {
+	// The long tasks outlast both owners, so that each new one meets workers that are nearly full.
+	long := cell.submit(batch("long", 3, cores(3), 10*time.Second))
+	cell.awaitStarts(recoveryLimit, 3, long)
+	ids := []descriptor.JobID{long}
+	for i := range 18 {
 		job := batch(fmt.Sprintf("assay-%d", i), 1+i%3, cores(1+int64(i%3)), time.Duration(200+100*(i%5))*time.Millisecond)
 		ids = append(ids, cell.submit(job))
 	}
