--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"pomelomoor/internal/entry/adapter"
 	"pomelomoor/internal/entry/dispatcher"
 	"pomelomoor/internal/entry/handler"
+	"pomelomoor/internal/entry/ranker"
 	"pomelomoor/internal/entry/responder"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/holder"
@@ -269,6 +271,10 @@
 	entry.shards = &shards{
 		entry:   entry,
 		limiter: rate.NewLimiter(rate.Limit(entry.settings.Limits.StoreWrites), 1),
+		ranker: ranker.Ranker{
+			Region: entry.settings.Region,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
 	}
 	list := entry.shardList()
 	managed := make([]manager.Shard, 0, len(list))
@@ -311,7 +317,7 @@
 				Incarnation: fmt.Sprintf("%020d", time.Now().UnixNano()),
 				Region:      entry.settings.Region,
 				Site:        entry.settings.Site,
-				Address:     entry.messenger.Address().String(),
+				Address:     entry.advertised().String(),
 			},
 			Interval:           entry.settings.Intervals.Exchange.Duration,
 			RemoteInterval:     entry.settings.Intervals.RegionExchange.Duration,
@@ -329,6 +335,14 @@
 	})
 }
 
+// advertised returns the address at which peers call the instance.
+func (entry *Entry) advertised() netip.AddrPort {
+	if entry.settings.Advertise.IsValid() {
+		return entry.settings.Advertise
+	}
+	return entry.messenger.Address()
+}
+
 func (entry *Entry) buildServer() error {
 	api := &handler.Handler{
 		Jobs: adapter.Jobs{
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -133,8 +132,12 @@
 	forwarder.config.Store(config)
 }
 
-// SetInstances takes the platform's list. Only runners of the own region are used.
+// SetInstances takes the platform's list. Only runners of the own region are used. A list without
+// Instances is an unchanged one and has no effect.
 func (forwarder *Forwarder) SetInstances(list lister.List) {
+	if list.Instances == nil {
+		return
+	}
 	runners := map[string][]router.Runner{}
 	for _, instance := range list.Instances {
 		if instance.Role != lister.RoleRunner {
@@ -163,7 +166,7 @@
 		own, listed := runners[name]
 		service.router.SetRunners(now, own)
 		service.dispatch(now)
-		if !listed && service.unused() {
+		if !listed && service.waiting() == 0 && service.router.Idle() {
 			service.disarm()
 			delete(forwarder.services, name)
 		}
@@ -271,7 +274,8 @@
 		request.Deadline = time.Now().Add(treatment.Timeout)
 	}
 	return forwarder.run(ctx, &call{
-		id:         newID(),
+		// The ID is random, so that no other request of any instance has it.
+		id:         rand.Text(),
 		request:    request,
 		lane:       treatment.Lane,
 		urgency:    treatment.Urgency,
@@ -288,7 +292,7 @@
 		lane = parser.LaneLong
 	}
 	result := forwarder.run(ctx, &call{
-		id: newID(),
+		id: rand.Text(),
 		request: Request{
 			Service:    request.GetService(),
 			Caller:     request.GetCaller(),
@@ -306,7 +310,7 @@
 		Status:  uint32(result.Status),
 		Body:    result.Body,
 		Id:      request.GetId(),
-		Problem: encodeProblem(result.Problem),
+		Problem: retrier.EncodeProblem(result.Problem),
 	}
 }
 
@@ -352,11 +356,3 @@
 	service.metrics.end(result, time.Since(started))
 	return result
 }
-
-// newID returns an ID that no other request of any instance has.
-func newID() string {
-	var random [16]byte
-	// rand.Read never returns an error.
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
