executor: let a worker's report leave out what has not changed

Change: SyncRequest.Changes asks for what changed since the reply with the request's ticket, SyncReply.Partial says that the report does so. The ticket proves which reply the owner has, so no further validator is needed. A whole report is asked for once a minute, after a silence, and while the worker holds runs that must not be there. Empty fields are left out of both documents.

--- a/internal/measure/imitator/imitator.go
+++ b/internal/measure/imitator/imitator.go
@@ -53,7 +53,9 @@
 // machine is a worker. Its report is kept, so that answering costs little.
 type machine struct {
 	report executor.SyncReply
-	ticket int
+	// changed lists the runs that started since the latest answer.
+	changed []executor.RunReport
+	ticket  int
 }
 
 // New returns a shard whose workers all have reported.
@@ -208,16 +210,23 @@
 	for _, start := range action.Request.Start {
 		imitator.Running++
 		imitator.Started++
-		machine.report.Running = append(machine.report.Running, executor.RunReport{
+		report := executor.RunReport{
 			Run:     start.Run,
 			Started: imitator.now,
 			Usage: descriptor.Usage{
 				Resources: start.Task,
 				At:        imitator.now,
 			},
-		})
+		}
+		machine.report.Running = append(machine.report.Running, report)
+		machine.changed = append(machine.changed, report)
 	}
 	machine.ticket++
 	machine.report.Ticket = fmt.Sprintf("%s-%d", machine.report.Incarnation, machine.ticket)
-	return machine.report
+	reply := machine.report
+	if action.Request.Changes {
+		reply.Partial, reply.Running = true, machine.changed
+	}
+	machine.changed = nil
+	return reply
 }
--- a/internal/platform/executor/executor.go
+++ b/internal/platform/executor/executor.go
@@ -38,20 +38,23 @@
 	// older than a Lease above 0, the worker carries out nothing, so that a message which arrives late
 	// starts no run.
 	// Empty means that the order is not checked.
-	Ticket string
+	Ticket string `json:",omitempty"`
+	// Changes asks for what changed since the reply with the ticket, instead of the whole report. Reports of
+	// unchanged runs are nearly all of the traffic between an owner and its workers.
+	Changes bool `json:",omitempty"`
 	// Lease is how long the shard's tasks may run after this message without another one.
 	// It never shortens a lease, so that 0 asks for the report only.
-	Lease time.Duration
+	Lease time.Duration `json:",omitempty"`
 	// Start lists runs to start. A run that the worker already knows is not started again.
-	Start []Start
+	Start []Start `json:",omitempty"`
 	// Stop lists runs to end. A stopped run is reported as finished with OutcomeStopped.
-	Stop []descriptor.RunID
+	Stop []descriptor.RunID `json:",omitempty"`
 	// Checkpoint lists runs to save and end; they are reported with OutcomeCheckpointed.
-	Checkpoint []descriptor.RunID
+	Checkpoint []descriptor.RunID `json:",omitempty"`
 	// Throttle lists runs to slow down to their declared size.
-	Throttle []descriptor.RunID
+	Throttle []descriptor.RunID `json:",omitempty"`
 	// Acknowledge lists finished runs that the worker may forget.
-	Acknowledge []descriptor.RunID
+	Acknowledge []descriptor.RunID `json:",omitempty"`
 }
 
 // Start asks a worker to start a run.
@@ -87,16 +90,20 @@
 	// Ticket is what the shard's next message carries.
 	Ticket string
 	// Stale means that the commands were not carried out because of the message's ticket.
-	Stale    bool
-	Place    descriptor.Place
-	Labels   descriptor.Labels
-	Capacity descriptor.Resources
+	Stale bool `json:",omitempty"`
+	// Partial means that Place, Labels and Capacity are left out, because they are as in the reply with the
+	// request's ticket, and so are the runs that were in that reply with the same usage. Of the runs that are
+	// left out, none has ended. A reply is partial only if Changes asked for it.
+	Partial  bool                 `json:",omitempty"`
+	Place    descriptor.Place     `json:",omitzero"`
+	Labels   descriptor.Labels    `json:",omitempty"`
+	Capacity descriptor.Resources `json:",omitzero"`
 	// Leaving means that the worker takes no new runs.
-	Leaving bool
+	Leaving bool `json:",omitempty"`
 	// Running lists the shard's runs on the worker.
-	Running []RunReport
+	Running []RunReport `json:",omitempty"`
 	// Finished lists ended runs that have not been acknowledged.
-	Finished []RunResult
+	Finished []RunResult `json:",omitempty"`
 }
 
 // RunReport describes a run in progress.
--- a/internal/shard/controller/workers.go
+++ b/internal/shard/controller/workers.go
@@ -23,6 +23,10 @@
 	incarnation string
 	ticket      string
 	description allocator.Worker
+	// changes tells that the message in flight asks for changes only, and wholeAt when the latest whole
+	// report was asked for.
+	changes bool
+	wholeAt time.Time
 	// suspect tells that the latest message got no answer. Its lease is not renewed any more.
 	suspect  bool
 	inFlight bool
@@ -148,6 +152,7 @@
 	if worker.reported && !worker.suspect && controller.authority == AuthorityAct {
 		controller.command(now, worker, &request)
 	}
+	worker.ask(now, &request)
 	controller.act(Sync{
 		Worker:  worker.id,
 		Address: worker.address,
@@ -156,6 +161,19 @@
 	})
 }
 
+// wholeInterval is the time between two whole reports. It bounds the time for which an error in a
+// worker's bookkeeping of its changes lasts.
+const wholeInterval = time.Minute
+
+// ask decides whether the report on a message may leave out what has not changed.
+func (worker *worker) ask(now time.Time, request *executor.SyncRequest) {
+	worker.changes = worker.reported && !worker.suspect && len(worker.foreign) == 0 && now.Sub(worker.wholeAt) < wholeInterval
+	request.Changes = worker.changes
+	if !worker.changes {
+		worker.wholeAt = now
+	}
+}
+
 func (controller *Controller) mayRenew(now time.Time) bool {
 	return controller.authority == AuthorityAct || controller.recoverer.MayRenew(now)
 }
@@ -222,8 +240,8 @@
 }
 
 func (controller *Controller) reported(now time.Time, event Reported) {
-	if event.Reply.Worker != event.Worker {
-		// Another worker has the address now, and took the message.
+	if event.Reply.Worker != event.Worker || !controller.understands(event) {
+		// Another worker has the address now, and took the message, or the report is of no use.
 		controller.unanswered(now, Unanswered{
 			Worker:         event.Worker,
 			MayHaveArrived: true,
@@ -237,16 +255,18 @@
 	reply := event.Reply
 	controller.recoverer.Answered(now, worker.id, event.Sent)
 	again := !worker.reported || worker.suspect || reply.Stale
-	opened := again || worker.incarnation != reply.Incarnation || worker.description.Capacity != reply.Capacity
+	opened := again || worker.incarnation != reply.Incarnation || !reply.Partial && worker.description.Capacity != reply.Capacity
 	worker.inFlight, worker.suspect, worker.reported = false, false, true
 	worker.incarnation, worker.ticket = reply.Incarnation, reply.Ticket
-	worker.description = allocator.Worker{
-		ID:       worker.id,
-		Place:    reply.Place,
-		Labels:   reply.Labels,
-		Capacity: reply.Capacity,
-		Closed:   reply.Leaving,
+	if !reply.Partial {
+		worker.description = allocator.Worker{
+			ID:       worker.id,
+			Place:    reply.Place,
+			Labels:   reply.Labels,
+			Capacity: reply.Capacity,
+		}
 	}
+	worker.description.Closed = reply.Leaving
 	controller.describe(worker)
 	controller.compare(now, worker, reply)
 	controller.describe(worker)
@@ -256,6 +276,12 @@
 	}
 }
 
+// understands reports whether a partial report is one of changes to what the controller knows.
+func (controller *Controller) understands(event Reported) bool {
+	worker, ok := controller.workers[event.Worker]
+	return !ok || !event.Reply.Partial || worker.changes && worker.incarnation == event.Reply.Incarnation
+}
+
 // compare brings the runs of a worker in line with its report.
 func (controller *Controller) compare(now time.Time, worker *worker, reply executor.SyncReply) {
 	seen := make(map[descriptor.RunID]struct{}, len(reply.Running)+len(reply.Finished))
@@ -274,7 +300,8 @@
 		}
 	}
 	for _, run := range sortedRuns(worker.runs) {
-		if _, ok := seen[run.id]; !ok {
+		// A partial report leaves out runs that go on.
+		if _, ok := seen[run.id]; !ok && (!reply.Partial || run.phase != phaseRunning) {
 			controller.missing(now, run)
 		}
 	}
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -53,8 +53,10 @@
 	cut         bool
 	unlisted    bool
 	running     map[descriptor.RunID]executor.Start
-	finished    map[descriptor.RunID]executor.RunResult
-	forgotten   map[descriptor.RunID]bool
+	// told lists the runs in the latest reply.
+	told      map[descriptor.RunID]bool
+	finished  map[descriptor.RunID]executor.RunResult
+	forgotten map[descriptor.RunID]bool
 }
 
 type message struct {
@@ -275,9 +277,18 @@
 		Incarnation: fmt.Sprint(machine.incarnation),
 		Ticket:      ticket(),
 		Stale:       stale,
-		Capacity:    capacity,
+		Partial:     request.Changes && !stale,
 	}
+	if !reply.Partial {
+		reply.Capacity = capacity
+	}
+	told := machine.told
+	machine.told = map[descriptor.RunID]bool{}
 	for _, id := range sortedKeys(machine.running) {
+		machine.told[id] = true
+		if reply.Partial && told[id] {
+			continue
+		}
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -33,7 +33,8 @@
 	}
 	shard.ticket++
 	shard.ticketAt = now
-	return worker.report(shard, stale, now), nil
+	partial := request.Changes && request.Ticket != "" && !stale
+	return worker.report(shard, stale, partial, now), nil
 }
 
 // stale reports whether the message was overtaken, or was on its way for too long.
@@ -279,20 +280,29 @@
 	}
 }
 
-func (worker *Worker) report(shard *shard, stale bool, now time.Time) executor.SyncReply {
+// report describes the shard's runs, or what changed about them since the latest reply. A message with
+// the current ticket proves that the owner has that reply.
+func (worker *Worker) report(shard *shard, stale, partial bool, now time.Time) executor.SyncReply {
 	reply := executor.SyncReply{
 		Worker:      worker.options.ID,
 		Incarnation: worker.incarnation,
 		Ticket:      worker.ticket(shard),
 		Stale:       stale,
-		Place:       worker.options.Place,
-		Labels:      worker.options.Labels,
-		Capacity:    worker.options.Capacity,
+		Partial:     partial,
 		Leaving:     worker.faults.Leaving,
 	}
-	for _, run := range shard.running {
-		reply.Running = append(reply.Running, run.report(now, worker.options.UsageLag))
+	if !partial {
+		reply.Place, reply.Labels, reply.Capacity = worker.options.Place, worker.options.Labels, worker.options.Capacity
+	}
+	told := make(map[descriptor.RunID]descriptor.Resources, len(shard.running))
+	for id, run := range shard.running {
+		report := run.report(now, worker.options.UsageLag)
+		told[id] = report.Usage.Resources
+		if usage, ok := shard.told[id]; !partial || !ok || usage != report.Usage.Resources {
+			reply.Running = append(reply.Running, report)
+		}
 	}
+	shard.told = told
 	for _, result := range shard.finished {
 		reply.Finished = append(reply.Finished, result)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -95,6 +95,8 @@
 	ticket   uint64
 	ticketAt time.Time
 	running  map[descriptor.RunID]*run
+	// told is the usage of each run in the latest reply.
+	told     map[descriptor.RunID]descriptor.Resources
 	finished map[descriptor.RunID]executor.RunResult
 	// forgotten holds the acknowledged runs, also in their order.
 	forgotten      map[descriptor.RunID]struct{}
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -280,3 +280,44 @@
 		t.Errorf("worker that is gone: %v", err)
 	}
 }
+
+// Guards against a report of changes that hides a start, an end or a new usage, and against one to an
+// owner that has not seen the latest reply.
+func TestChanges(t *testing.T) {
+	inBubble(t, func(fixture *fixture) {
+		const payload = `{"RunTime":"10m","Use":{"MilliCPU":1,"MemoryBytes":50},"UseAfter":"5s"}`
+		whole := fixture.start(starting(1, 1, payload))
+		if whole.Partial || len(whole.Running) != 1 || whole.Capacity != capacity {
+			t.Fatalf("%+v", whole)
+		}
+		ask := func(ticket string, starts []executor.Start, stops ...descriptor.RunID) executor.SyncReply {
+			return fixture.sync(executor.SyncRequest{
+				Ticket:  ticket,
+				Changes: true,
+				Start:   starts,
+				Stop:    stops,
+			})
+		}
+		expect := func(reply executor.SyncReply, running, finished int) {
+			t.Helper()
+			if !reply.Partial || len(reply.Running) != running || len(reply.Finished) != finished {
+				t.Fatalf("%+v", reply)
+			}
+		}
+		started := ask(whole.Ticket, starting(2, 1, `{"RunTime":"10m"}`))
+		expect(started, 1, 0)
+		same := ask(started.Ticket, nil)
+		expect(same, 0, 0)
+		time.Sleep(9 * time.Second)
+		// Both runs have been measured since.
+		used := ask(same.Ticket, nil)
+		expect(used, 2, 0)
+		stopped := ask(used.Ticket, nil, runID(2))
+		expect(stopped, 0, 1)
+		again := ask(stopped.Ticket, nil)
+		expect(again, 0, 1)
+		if old := ask(stopped.Ticket, nil); old.Partial || !old.Stale || len(old.Running) != 1 {
+			t.Fatalf("%+v", old)
+		}
+	})
+}
