--- a/internal/measure/imitator/bench_test.go
+++ b/internal/measure/imitator/bench_test.go
@@ -123,15 +123,60 @@
 			imitator := New(140, config(b))
 			fill(b, imitator, tasks)
 			pass(b, imitator, func() {})
-			size := 0
-			records := imitator.Controller.Snapshot()
-			for _, record := range records {
-				size += proto.Size(record)
+			reportState(b, imitator)
+		})
+	}
+}
+
+// reportState reports the size of a snapshot and the controller's memory.
+func reportState(b *testing.B, imitator *Imitator) {
+	b.Helper()
+	size := 0
+	begin := time.Now()
+	records := imitator.Controller.Snapshot()
+	took := time.Since(begin)
+	for _, record := range records {
+		size += proto.Size(record)
+	}
+	b.ReportMetric(float64(size)/1000, "snapshot-KB")
+	b.ReportMetric(float64(len(records)), "snapshot-records")
+	b.ReportMetric(float64(took.Microseconds())/1000, "snapshot-ms")
+	clear(records)
+	b.ReportMetric(retained(imitator)/1000, "retained-KB")
+}
+
+// BenchmarkEnded observes a shard of 140 workers that keeps ended jobs of ten tasks for their retention.
+func BenchmarkEnded(b *testing.B) {
+	for _, jobs := range []int{0, 500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			imitator := New(140, config(b))
+			for i := 0; i < jobs; i += 100 {
+				for j := range 100 {
+					imitator.Submit(job(i+j, 10, small))
+				}
+				imitator.Advance(3 * time.Second)
+				imitator.End(imitator.Running)
+				imitator.Advance(3 * time.Second)
 			}
-			b.ReportMetric(float64(size), "snapshot-B")
-			b.ReportMetric(float64(len(records)), "snapshot-records")
-			clear(records)
-			b.ReportMetric(retained(imitator)/1000, "retained-KB")
+			if imitator.Started != 10*jobs || imitator.Running != 0 {
+				b.Fatalf("%d tasks started, %d run", imitator.Started, imitator.Running)
+			}
+			pass(b, imitator, func() {})
+			reportState(b, imitator)
+		})
+	}
+}
+
+// BenchmarkKeys observes a registrar of 140 workers that keeps the keys of jobs in other shards.
+func BenchmarkKeys(b *testing.B) {
+	for _, keys := range []int{0, 5000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			imitator := New(140, config(b))
+			for i := range keys {
+				imitator.Bind(job(i, 10, small))
+			}
+			pass(b, imitator, func() {})
+			reportState(b, imitator)
 		})
 	}
 }
--- a/internal/measure/imitator/imitator.go
+++ b/internal/measure/imitator/imitator.go
@@ -230,3 +230,14 @@
 	machine.changed = nil
 	return reply
 }
+
+// Bind lets the shard, as the registrar, bind the key of a job that another shard takes.
+func (imitator *Imitator) Bind(job descriptor.Job) {
+	imitator.nonce++
+	imitator.step(controller.Bind{
+		Request: controller.Request(imitator.nonce),
+		Job:     job,
+		Targets: []descriptor.ShardID{"south-b-0"},
+		Nonce:   imitator.nonce,
+	})
+}
