--- a/internal/measure/streamer/streamer.go
+++ b/internal/measure/streamer/streamer.go
@@ -77,16 +77,17 @@
 
 // Model is a way to serve requests.
 type Model interface {
-	offer(now time.Time, id int, request *Request)
-	// next returns a request to start now.
-	next(now time.Time) (id int, ok bool)
-	done(now time.Time, id int, request *Request)
+	Offer(now time.Time, id int, request *Request)
+	// Next returns a request to start now.
+	Next(now time.Time) (id int, ok bool)
+	Done(now time.Time, id int, request *Request)
 }
 
 // System is Queuer and Router as the forwarder uses them.
 type System struct {
 	queuer queuer.Queuer
-	router router.Router
+	// Router chooses runners.
+	Router router.Router
 	slots  map[int]router.Slot
 }
 
@@ -102,30 +103,30 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1)),
 		})
 	}
-	system.router.SetRunners(Epoch, runners)
+	system.Router.SetRunners(Epoch, runners)
 	return system
 }
 
-func (system *System) offer(now time.Time, _ int, request *Request) {
+func (system *System) Offer(now time.Time, _ int, request *Request) {
 	var slots queuer.Slots
-	slots.Usable, slots.Free = system.router.Slots(now, request.Item.Lane)
+	slots.Usable, slots.Free = system.Router.Slots(now, request.Item.Lane)
 	system.queuer.Offer(now, request.Item, slots)
 }
 
-func (system *System) next(now time.Time) (int, bool) {
-	_, short := system.router.Slots(now, parser.LaneShort)
-	_, long := system.router.Slots(now, parser.LaneLong)
+func (system *System) Next(now time.Time) (int, bool) {
+	_, short := system.Router.Slots(now, parser.LaneShort)
+	_, long := system.Router.Slots(now, parser.LaneLong)
 	item, _, ok := system.queuer.Take(now, short > 0, long > 0)
 	if !ok {
 		return 0, false
 	}
 	id, _ := strconv.Atoi(item.ID)
-	system.slots[id], _ = system.router.Choose(now, item.Lane, "")
+	system.slots[id], _ = system.Router.Choose(now, item.Lane, "")
 	return id, true
 }
 
-func (system *System) done(now time.Time, id int, request *Request) {
-	system.router.Release(now, system.slots[id], router.OutcomeSuccess, request.Service)
+func (system *System) Done(now time.Time, id int, request *Request) {
+	system.Router.Release(now, system.slots[id], router.OutcomeSuccess, request.Service)
 	system.queuer.Learn(now, request.Item.Lane, request.Service)
 	delete(system.slots, id)
 }
@@ -136,11 +137,11 @@
 	free  int
 }
 
-func (fifo *fifo) offer(_ time.Time, id int, _ *Request) {
+func (fifo *fifo) Offer(_ time.Time, id int, _ *Request) {
 	fifo.queue = append(fifo.queue, id)
 }
 
-func (fifo *fifo) next(time.Time) (int, bool) {
+func (fifo *fifo) Next(time.Time) (int, bool) {
 	if len(fifo.queue) == 0 || fifo.free == 0 {
 		return 0, false
 	}
@@ -150,7 +151,7 @@
 	return id, true
 }
 
-func (fifo *fifo) done(time.Time, int, *Request) {
+func (fifo *fifo) Done(time.Time, int, *Request) {
 	fifo.free++
 }
 
@@ -184,7 +185,7 @@
 		var reports []router.Peer
 		for j, member := range region.members {
 			system := member.(*System)
-			if _, free := system.router.Slots(now, parser.LaneShort); i != j && system.queuer.Len(parser.LaneShort) == 0 {
+			if _, free := system.Router.Slots(now, parser.LaneShort); i != j && system.queuer.Len(parser.LaneShort) == 0 {
 				reports = append(reports, router.Peer{
 					ID:   strconv.Itoa(j),
 					Free: free,
@@ -195,7 +196,7 @@
 	}
 }
 
-func (region *region) offer(now time.Time, id int, request *Request) {
+func (region *region) Offer(now time.Time, id int, request *Request) {
 	if now.Sub(region.reported) >= time.Second {
 		region.report(now)
 	}
@@ -204,13 +205,13 @@
 	if region.peers != nil {
 		region.forward(now, id, home, request)
 	}
-	region.members[region.place[id]].offer(now, id, request)
+	region.members[region.place[id]].Offer(now, id, request)
 }
 
 // forward moves a request to a peer if it has a free slot; the round trip counts as a wait.
 func (region *region) forward(now time.Time, id, home int, request *Request) {
 	own, slots := region.members[home].(*System), queuer.Slots{}
-	slots.Usable, slots.Free = own.router.Slots(now, request.Item.Lane)
+	slots.Usable, slots.Free = own.Router.Slots(now, request.Item.Lane)
 	demand := router.Demand{
 		ID:       request.Item.ID,
 		Deadline: request.Item.Deadline,
@@ -222,28 +223,28 @@
 	}
 	request.At = request.At.Add(-router.RegionRoundTrip)
 	peer, _ := strconv.Atoi(chosen)
-	if _, free := region.members[peer].(*System).router.Slots(now, request.Item.Lane); free > 0 {
+	if _, free := region.members[peer].(*System).Router.Slots(now, request.Item.Lane); free > 0 {
 		region.place[id] = peer
 		return
 	}
 	region.peers[home].Return(chosen, true)
 }
 
-func (region *region) next(now time.Time) (int, bool) {
+func (region *region) Next(now time.Time) (int, bool) {
 	for _, member := range region.members {
-		if id, ok := member.next(now); ok {
+		if id, ok := member.Next(now); ok {
 			return id, true
 		}
 	}
 	return 0, false
 }
 
-func (region *region) done(now time.Time, id int, request *Request) {
+func (region *region) Done(now time.Time, id int, request *Request) {
 	home, place := id%RegionMembers, region.place[id]
 	if home != place {
 		region.peers[home].Return(strconv.Itoa(place), false)
 	}
-	region.members[place].done(now, id, request)
+	region.members[place].Done(now, id, request)
 }
 
 type ending struct {
@@ -259,15 +260,15 @@
 		var now time.Time
 		if at < len(all) && (len(running) == 0 || all[at].At.Before(running[0].at)) {
 			now = all[at].At
-			model.offer(now, at, all[at])
+			model.Offer(now, at, all[at])
 			at++
 		} else {
 			now = running[0].at
-			model.done(now, running[0].id, all[running[0].id])
+			model.Done(now, running[0].id, all[running[0].id])
 			running = running[1:]
 		}
 		for {
-			id, ok := model.next(now)
+			id, ok := model.Next(now)
 			if !ok {
 				break
 			}
