--- a/internal/measure/streamer/streamer.go
+++ b/internal/measure/streamer/streamer.go
@@ -107,12 +107,14 @@
 	return system
 }
 
+// Offer implements Model.
 func (system *System) Offer(now time.Time, _ int, request *Request) {
 	var slots queuer.Slots
 	slots.Usable, slots.Free = system.Router.Slots(now, request.Item.Lane)
 	system.queuer.Offer(now, request.Item, slots)
 }
 
+// Next implements Model.
 func (system *System) Next(now time.Time) (int, bool) {
 	_, short := system.Router.Slots(now, parser.LaneShort)
 	_, long := system.Router.Slots(now, parser.LaneLong)
@@ -125,6 +127,7 @@
 	return id, true
 }
 
+// Done implements Model.
 func (system *System) Done(now time.Time, id int, request *Request) {
 	system.Router.Release(now, system.slots[id], router.OutcomeSuccess, request.Service)
 	system.queuer.Learn(now, request.Item.Lane, request.Service)
