--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -132,6 +132,7 @@
 		worker.Command(now, &request)
 		dispatcher.outbox.Flush()
 	}
+	worker.Ask(now, &request)
 	dispatcher.outbox.Act(signaler.Sync{
 		Worker:  worker.ID,
 		Address: worker.Address,
@@ -171,18 +172,27 @@
 		return
 	}
 	reply := event.Reply
+	if !worker.Understands(reply) {
+		dispatcher.Unanswered(now, signaler.Unanswered{
+			Worker:         event.Worker,
+			MayHaveArrived: true,
+		})
+		return
+	}
 	dispatcher.recoverer.Answered(now, worker.ID, event.Sent)
 	again := !worker.Reported || worker.Suspect || reply.Stale
-	opened := again || worker.Incarnation != reply.Incarnation || worker.Description.Capacity != reply.Capacity
+	opened := again || worker.Incarnation != reply.Incarnation || !reply.Partial && worker.Description.Capacity != reply.Capacity
 	worker.InFlight, worker.Suspect, worker.Reported = false, false, true
 	worker.Incarnation, worker.Ticket = reply.Incarnation, reply.Ticket
-	worker.Description = allocator.Worker{
-		ID:       worker.ID,
-		Place:    reply.Place,
-		Labels:   reply.Labels,
-		Capacity: reply.Capacity,
-		Closed:   reply.Leaving,
+	if !reply.Partial {
+		worker.Description = allocator.Worker{
+			ID:       worker.ID,
+			Place:    reply.Place,
+			Labels:   reply.Labels,
+			Capacity: reply.Capacity,
+		}
 	}
+	worker.Description.Closed = reply.Leaving
 	dispatcher.describe(worker)
 	dispatcher.compare(now, worker, reply)
 	dispatcher.describe(worker)
@@ -206,7 +216,8 @@
 	}
 	worker.Forgot(seen)
 	for _, run := range worker.SortedRuns() {
-		if _, ok := seen[run.ID]; !ok {
+		// A partial report leaves out runs that go on.
+		if _, ok := seen[run.ID]; !ok && (!reply.Partial || run.Phase != arbiter.PhaseRunning) {
 			dispatcher.missing(now, worker, run)
 		}
 	}
