Check histories of concurrent callers under random faults from a seed

Thirteen callers and a reader for each instance work for 20 s while instances are killed and paused, links cut and slowed, and store, workers and runners made to fail. What callers were told and what workers and runners did is checked against the models; a failing history is kept as a drawing and as text in a directory that is printed. POMELOMOOR_SEED sets the seed.

--- /dev/null
+++ b/integration/linear_test.go
@@ -0,0 +1,293 @@
+package integration_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pomelomoor/internal/client/caller"
+	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// Callers of a trial. One more for each instance reads its configuration.
+const (
+	submitters = 5
+	askers     = 2
+	cancellers = 1
+	operators  = 2
+	requesters = 3
+)
+
+const (
+	// trialCallLimit is short, so that calls end uncertain while an instance is paused.
+	trialCallLimit = 2 * time.Second
+	readPause      = 50 * time.Millisecond
+	// settleLimit has room for the leases of tasks on workers that were lost.
+	settleLimit = 70 * time.Second
+)
+
+// trial is one run of concurrent callers under faults.
+type trial struct {
+	t        *testing.T
+	cell     *cell
+	seed     uint64
+	recorder *recorder
+	ctx      context.Context
+	group    sync.WaitGroup
+
+	mutex    sync.Mutex
+	client   int
+	keys     []string
+	jobs     []descriptor.JobID
+	handled  map[string]bool
+	outcomes []outcome
+}
+
+// Guards I1 to I6 and I8 under random combinations of faults: answers that callers got at any instance
+// and what workers and runners did would have no order that a correct system could have produced.
+func TestHistoriesUnderRandomFaults(t *testing.T) {
+	seed := chooseSeed(t)
+	t.Logf("%s=%d", seedVariable, seed)
+	cell := newCell(t, options{
+		Entries: 4,
+		Workers: 5,
+		Runners: 3,
+	})
+	for _, entry := range cell.live() {
+		entry.awaitMembers(4)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	trial := &trial{
+		t:        t,
+		cell:     cell,
+		seed:     seed,
+		recorder: newRecorder(),
+		ctx:      ctx,
+		handled:  map[string]bool{},
+	}
+	reading, stopReading := context.WithCancel(context.Background())
+	var readers sync.WaitGroup
+	startReader := func(entry *entry) {
+		client := trial.nextClient()
+		readers.Go(func() {
+			trial.read(reading, client, entry)
+		})
+	}
+	t.Cleanup(func() {
+		stop()
+		stopReading()
+		trial.group.Wait()
+		readers.Wait()
+	})
+	for _, entry := range cell.live() {
+		startReader(entry)
+	}
+	trial.startCallers()
+	nemesis := &nemesis{
+		cell:    cell,
+		origin:  trial.recorder.begun,
+		started: startReader,
+	}
+	nemesis.run(drawPlan(newRandom(seed, "nemesis"), len(faults)))
+	nemesis.note("all is healed")
+	stop()
+	trial.group.Wait()
+	cell.awaitOwner()
+	trial.settle()
+	stopReading()
+	readers.Wait()
+	notes := fmt.Sprintf("%s=%d\n%s", seedVariable, seed, nemesis.log.String())
+	trial.checkAll(notes)
+	if t.Failed() {
+		t.Logf("faults:\n%s", notes)
+	}
+}
+
+func (trial *trial) nextClient() int {
+	trial.mutex.Lock()
+	defer trial.mutex.Unlock()
+	trial.client++
+	return trial.client
+}
+
+func (trial *trial) startCallers() {
+	for _, kind := range []struct {
+		count int
+		pause time.Duration
+		call  func(client int, random *rand.Rand)
+	}{
+		{submitters, 120 * time.Millisecond, trial.submit},
+		{askers, 25 * time.Millisecond, trial.ask},
+		{cancellers, 400 * time.Millisecond, trial.cancel},
+		{operators, 400 * time.Millisecond, trial.apply},
+		{requesters, 30 * time.Millisecond, trial.request},
+	} {
+		for range kind.count {
+			client := trial.nextClient()
+			random := newRandom(trial.seed, fmt.Sprintf("client-%d", client))
+			trial.group.Go(func() {
+				for trial.ctx.Err() == nil {
+					kind.call(client, random)
+					_ = caller.Sleep(trial.ctx, between(random, kind.pause/2, 3*kind.pause/2))
+				}
+			})
+		}
+	}
+}
+
+// entry chooses a live instance, which may be paused or cut off.
+func (trial *trial) entry(random *rand.Rand) *caller.Client {
+	live := trial.cell.live()
+	client := live[random.IntN(len(live))].once()
+	client.Timeout = trialCallLimit
+	return client
+}
+
+// outcomeOf returns the outcome of a call that can have an effect.
+func outcomeOf(err error) string {
+	var problem *descriptor.Problem
+	switch {
+	case err == nil:
+		return accepted
+	case !errors.As(err, &problem):
+		return uncertain
+	case problem.Code == descriptor.CodeKeyConflict, problem.Code == descriptor.CodeConflict, problem.Code == descriptor.CodeNotFound:
+		return conflict
+	case presenter.NotRun(problem.Code):
+		return refused
+	default:
+		return uncertain
+	}
+}
+
+// end is the return time of an operation, or none for one that may take effect later.
+func end(outcome string) time.Time {
+	if outcome == uncertain {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
+// job returns the job of a key in one of two descriptions. Its name tells them apart.
+func (trial *trial) job(key string, variant int) descriptor.Job {
+	shape := newRandom(trial.seed, key)
+	job := batch(key, 1+shape.IntN(2), cores(1), between(shape, 100*time.Millisecond, 700*time.Millisecond))
+	job.Idempotent = shape.IntN(2) == 0
+	job.Name = fmt.Sprintf("%s-%d", key, variant)
+	return job
+}
+
+// newRandom returns a source for one caller. Near seeds are mixed, because they would begin alike.
+func newRandom(seed uint64, stream string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(fmt.Sprintf("%s-%d", stream, seed))))
+}
+
+func (trial *trial) submit(client int, random *rand.Rand) {
+	trial.mutex.Lock()
+	key := fmt.Sprintf("key-%d", len(trial.keys))
+	if len(trial.keys) > 0 && random.IntN(2) == 0 {
+		key = trial.keys[len(trial.keys)-1-random.IntN(min(8, len(trial.keys)))]
+	} else {
+		trial.keys = append(trial.keys, key)
+	}
+	trial.mutex.Unlock()
+	variant := 0
+	if random.IntN(6) == 0 {
+		variant = 1
+	}
+	trial.submitTo(client, trial.entry(random), trial.job(key, variant))
+}
+
+func (trial *trial) submitTo(client int, server *caller.Client, job descriptor.Job) string {
+	begun := time.Now()
+	status, created, err := server.Submit(context.Background(), job)
+	outcome := outcomeOf(err)
+	trial.recorder.add("submissions", client, begun, end(outcome), submission{
+		Key:         job.Key,
+		Description: job.Name,
+	}, submitted{
+		Outcome: outcome,
+		Job:     status.ID,
+		Created: created,
+	})
+	if outcome != accepted {
+		return outcome
+	}
+	trial.mutex.Lock()
+	defer trial.mutex.Unlock()
+	trial.handled[job.Key] = true
+	for _, known := range trial.jobs {
+		if known == status.ID {
+			return outcome
+		}
+	}
+	trial.jobs = append(trial.jobs, status.ID)
+	return outcome
+}
+
+// recent chooses one of the latest accepted jobs.
+func (trial *trial) recent(random *rand.Rand) (descriptor.JobID, bool) {
+	trial.mutex.Lock()
+	defer trial.mutex.Unlock()
+	if len(trial.jobs) == 0 {
+		return "", false
+	}
+	return trial.jobs[len(trial.jobs)-1-random.IntN(min(24, len(trial.jobs)))], true
+}
+
+func (trial *trial) ask(client int, random *rand.Rand) {
+	if id, ok := trial.recent(random); ok {
+		_, _ = trial.askFor(client, trial.entry(random), id)
+	}
+}
+
+// askFor records what an instance tells about an accepted job.
+func (trial *trial) askFor(client int, server *caller.Client, id descriptor.JobID) (descriptor.JobStatus, error) {
+	begun := time.Now()
+	status, err := server.Status(context.Background(), id, true)
+	outcome := outcomeOf(err)
+	if outcome == refused || outcome == uncertain {
+		return status, err
+	}
+	trial.addFate(client, begun, statusCall, outcome, id, status)
+	if outcome == accepted {
+		now := time.Now()
+		trial.recorder.add("submissions", client, now, now, submission{
+			Key:         status.Job.Key,
+			Description: status.Job.Name,
+		}, submitted{
+			Outcome: seen,
+			Job:     id,
+		})
+	}
+	return status, err
+}
+
+func (trial *trial) addFate(client int, begun time.Time, call, outcome string, id descriptor.JobID, status descriptor.JobStatus) {
+	for _, model := range []string{"fates", "progress"} {
+		trial.recorder.add(model, client, begun, end(outcome), question{
+			Job:  id,
+			Call: call,
+		}, told{
+			Outcome: outcome,
+			Fate:    status.Fate,
+		})
+	}
+}
+
+func (trial *trial) cancel(client int, random *rand.Rand) {
+	id, ok := trial.recent(random)
+	if !ok {
+		return
+	}
+	begun := time.Now()
+	status, err := trial.entry(random).Cancel(context.Background(), id)
+	trial.addFate(client, begun, cancelCall, outcomeOf(err), id, status)
+}
