--- a/integration/linear_nemesis_test.go
+++ b/integration/linear_nemesis_test.go
@@ -100,8 +100,10 @@
 	(*nemesis).breakPeerLink,
 	(*nemesis).breakWorkerLink,
 	(*nemesis).breakWorkerLink,
+	(*nemesis).isolate,
 	(*nemesis).restartWorker,
 	(*nemesis).breakWorker,
+	(*nemesis).pauseWorker,
 	(*nemesis).breakRunner,
 }
 
@@ -128,10 +130,7 @@
 
 func (nemesis *nemesis) inject(planned planned) {
 	target, begin, heal := faults[planned.kind](nemesis, planned)
-	taken := slices.ContainsFunc(nemesis.active, func(undoing undoing) bool {
-		return undoing.target == target
-	})
-	if target == "" || taken {
+	if target == "" || nemesis.broken(target) {
 		return
 	}
 	begin()
@@ -145,6 +144,12 @@
 	})
 }
 
+func (nemesis *nemesis) broken(target string) bool {
+	return slices.ContainsFunc(nemesis.active, func(undoing undoing) bool {
+		return undoing.target == target
+	})
+}
+
 // healUntil ends the faults that are due before a time.
 func (nemesis *nemesis) healUntil(limit time.Duration) {
 	slices.SortStableFunc(nemesis.active, func(left, right undoing) int {
@@ -166,12 +171,22 @@
 	})
 }
 
+// choose returns a live instance, every second time the owner of the shard.
+func (nemesis *nemesis) choose(planned planned) *entry {
+	if planned.index%2 == 0 {
+		if owner, _, err := nemesis.cell.owner(); err == nil {
+			return owner
+		}
+	}
+	live := nemesis.cell.live()
+	return live[planned.index/2%len(live)]
+}
+
 func (nemesis *nemesis) kill(planned planned) (string, func(), func()) {
-	running := nemesis.running()
-	if len(running) < 2 {
+	entry := nemesis.choose(planned)
+	if entry.paused.Load() || len(nemesis.running()) < 2 {
 		return "", nil, nil
 	}
-	entry := running[planned.index%len(running)]
 	return "process " + entry.id, func() {
 		nemesis.note("kill %s", entry.id)
 		entry.kill()
@@ -182,11 +197,10 @@
 }
 
 func (nemesis *nemesis) pauseEntry(planned planned) (string, func(), func()) {
-	running := nemesis.running()
-	if len(running) < 2 {
+	entry := nemesis.choose(planned)
+	if entry.paused.Load() || len(nemesis.running()) < 2 {
 		return "", nil, nil
 	}
-	entry := running[planned.index%len(running)]
 	return "pause of " + entry.id, func() {
 		nemesis.note("pause %s", entry.id)
 		entry.pause()
@@ -230,20 +244,36 @@
 }
 
 func (nemesis *nemesis) breakStoreLink(planned planned) (string, func(), func()) {
-	live := nemesis.cell.live()
-	entry := live[planned.index%len(live)]
+	entry := nemesis.choose(planned)
 	return nemesis.breakLink("link of "+entry.id+" to the store", entry.store, planned)
 }
 
 func (nemesis *nemesis) breakPeerLink(planned planned) (string, func(), func()) {
-	live := nemesis.cell.live()
-	entry := live[planned.index%len(live)]
+	entry := nemesis.choose(planned)
 	return nemesis.breakLink("link of peers to "+entry.id, entry.peer, planned)
 }
 
+// isolate cuts an instance off from the store and from the calls of its peers. It still reaches workers.
+func (nemesis *nemesis) isolate(planned planned) (string, func(), func()) {
+	entry := nemesis.choose(planned)
+	peers, store := "link of peers to "+entry.id, "link of "+entry.id+" to the store"
+	if nemesis.broken(peers) || nemesis.broken(store) {
+		return "", nil, nil
+	}
+	return store, func() {
+		nemesis.note("isolate %s", entry.id)
+		entry.store.cut()
+		entry.peer.cut()
+		nemesis.active = append(nemesis.active, undoing{
+			at:     planned.at + planned.lasts,
+			target: peers,
+			undo:   entry.peer.heal,
+		})
+	}, entry.store.heal
+}
+
 func (nemesis *nemesis) breakWorkerLink(planned planned) (string, func(), func()) {
-	live := nemesis.cell.live()
-	entry := live[planned.index%len(live)]
+	entry := nemesis.choose(planned)
 	node := nemesis.cell.workers[planned.index/8%len(nemesis.cell.workers)]
 	entry.mutex.Lock()
 	known := entry.workers[node.id+" "+node.address.String()]
@@ -256,12 +286,20 @@
 
 func (nemesis *nemesis) restartWorker(planned planned) (string, func(), func()) {
 	node := nemesis.cell.workers[planned.index%len(nemesis.cell.workers)]
-	return "restart of " + node.id, func() {
+	return node.id, func() {
 		nemesis.note("restart %s", node.id)
 		node.restart()
 	}, nil
 }
 
+func (nemesis *nemesis) pauseWorker(planned planned) (string, func(), func()) {
+	node := nemesis.cell.workers[planned.index%len(nemesis.cell.workers)]
+	return node.id, func() {
+		nemesis.note("pause %s", node.id)
+		node.pause()
+	}, node.resume
+}
+
 func (nemesis *nemesis) breakWorker(planned planned) (string, func(), func()) {
 	node := nemesis.cell.workers[planned.index%len(nemesis.cell.workers)]
 	var faults worker.Faults
