--- a/integration/linear_recorder_test.go
+++ b/integration/linear_recorder_test.go
@@ -237,3 +237,49 @@
 		}
 	}
 }
+
+// Guards against a failing history that cannot be looked at later.
+func TestFailingHistoryIsKept(t *testing.T) {
+	t.Setenv(historiesVariable, filepath.Join(t.TempDir(), "kept"))
+	wrong := submission{"key", "wrong"}
+	verdict := judge(submissionModel, []porcupine.Operation{
+		operation(0, 1, submission{"other", "right"}, submitted{
+			Outcome: accepted,
+		}),
+		operation(0, pending, wrong, submitted{
+			Outcome: uncertain,
+		}),
+		operation(0, 1, wrong, submitted{
+			Outcome: accepted,
+			Job:     "1",
+		}),
+		operation(2, 3, wrong, submitted{
+			Outcome: accepted,
+			Job:     "2",
+		}),
+	})
+	if verdict.result != porcupine.Illegal || len(verdict.illegal) != 3 {
+		t.Fatalf("%s: %v", verdict.result, verdict.illegal)
+	}
+	directory, err := keep("submissions", submissionModel, verdict, "POMELOMOOR_SEED=7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for file, wanted := range map[string][]string{
+		"submissions.html": {"<html", "Description:wrong"},
+		"submissions.txt":  {"POMELOMOOR_SEED=7", "0s to open", "Description:wrong"},
+	} {
+		document, err := os.ReadFile(filepath.Join(directory, file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range wanted {
+			if !bytes.Contains(document, []byte(part)) {
+				t.Errorf("%s does not contain %q", file, part)
+			}
+		}
+		if bytes.Contains(document, []byte("Description:right")) {
+			t.Errorf("%s contains operations that are not at fault", file)
+		}
+	}
+}
