--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,19 +14,13 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/requester"
 	"pomelomoor/internal/request/retrier"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
 )
 
-// Numbers of log events.
-const (
-	eventRunnerPaused  = 3001
-	eventWrongAnswer   = 3002
-	eventForwardFailed = 3003
-)
-
 // call is one request on its way. It belongs to the goroutine of its caller.
 type call struct {
 	id         string
@@ -57,6 +52,10 @@
 	return fmt.Sprintf("%s.%d", call.id, call.sent)
 }
 
+func (call *call) expired() bool {
+	return !time.Now().Before(call.request.Deadline)
+}
+
 // refused returns the result of a call that never was attempted.
 func (call *call) refused(problem *descriptor.Problem) Result {
 	return Result{
@@ -70,8 +69,10 @@
 
 // pursue makes attempts until the fate is final.
 func (forwarder *Forwarder) pursue(ctx context.Context, call *call) Result {
+	waiting, cancel := context.WithDeadline(ctx, call.request.Deadline)
+	defer cancel()
 	for {
-		slot, peer, problem := call.service.acquire(ctx, call)
+		slot, peer, problem := call.service.acquire(waiting, call)
 		if problem != nil {
 			return call.end(call.tries.Abandon(time.Now(), problem), answer{})
 		}
@@ -79,7 +80,7 @@
 		if peer != "" {
 			call.mayForward = false
 			answer = forwarder.forward(ctx, call, peer)
-			if refused, ok := answer.outcome.(retrier.NotRun); ok && ctx.Err() == nil {
+			if refused, ok := answer.outcome.(retrier.NotRun); ok && waiting.Err() == nil {
 				// The peer's report was out of date; the own queue is still open.
 				call.service.metrics.count("forward_refused", "code", string(refused.Problem.Code))
 				continue
@@ -88,7 +89,7 @@
 			call.avoid = slot.Runner
 			answer = forwarder.attempt(ctx, call, slot)
 		}
-		verdict := forwarder.decide(ctx, call, answer.outcome)
+		verdict := forwarder.decide(waiting, call, answer.outcome)
 		if !verdict.Retry {
 			return call.end(verdict, answer)
 		}
@@ -127,37 +128,35 @@
 		trace.WithAttributes(attribute.String("Runner", slot.Runner)),
 	)
 	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, call.request.Deadline.Add(requester.AnswerGrace))
+	defer cancel()
 	started := time.Now()
 	health := router.OutcomeFailure
 	// Deferred, because a slot that a panic kept would be lost.
 	defer func() {
-		call.service.release(ctx, slot, health, time.Since(started))
+		took := time.Since(started)
+		if health == router.OutcomeTimeout {
+			// The wait past the deadline says nothing about how long work takes.
+			took = min(took, call.request.Deadline.Sub(started))
+		}
+		call.service.release(ctx, slot, health, took)
 	}()
 	id := call.nextID()
-	span.SetAttributes(attribute.String("ID", id))
-	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
-		ID:         id,
-		Service:    call.request.Service,
-		Caller:     call.request.Caller,
-		Deadline:   call.request.Deadline,
-		Idempotent: call.request.Idempotent,
-		Body:       call.request.Body,
-	})
-	if err == nil && response.ID != id {
-		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
-	}
-	if errors.Is(err, requester.ErrMismatch) {
-		forwarder.warn(ctx, eventWrongAnswer, "answer of another request was discarded", slot.Runner, id, err)
-	}
+	span.SetAttributes(attribute.String("Attempt", id))
+	response, err := forwarder.send(ctx, call, slot, id)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		health = router.Judge(err, ctx.Err())
+		health = call.judge(ctx, err)
 		return answer{
 			outcome: retrier.FromError(err),
 		}
 	}
-	if response.Status < 500 {
+	switch {
+	case response.Status < 500:
 		health = router.OutcomeSuccess
+	case call.expired():
+		// The runner gave the request up at its deadline, which is no fault of the runner.
+		health = router.OutcomeTimeout
 	}
 	return answer{
 		outcome: retrier.Answered{
@@ -168,6 +167,34 @@
 	}
 }
 
+// judge returns what an error of an attempt tells about the runner.
+func (call *call) judge(ctx context.Context, err error) router.Outcome {
+	if call.expired() {
+		return router.Judge(err, context.DeadlineExceeded)
+	}
+	return router.Judge(err, ctx.Err())
+}
+
+// send returns the runner's answer to the attempt. An answer to another attempt is an error.
+func (forwarder *Forwarder) send(ctx context.Context, call *call, slot router.Slot, id string) (requester.Response, error) {
+	response, err := forwarder.options.Requester.Send(ctx, slot.Address, requester.Request{
+		ID:         id,
+		Service:    call.request.Service,
+		Caller:     call.request.Caller,
+		Deadline:   call.request.Deadline,
+		Idempotent: call.request.Idempotent,
+		Body:       call.request.Body,
+	})
+	if err == nil && response.ID != id {
+		err = errors.Wrapf(requester.ErrMismatch, "answer carries %q", response.ID)
+	}
+	if errors.Is(err, requester.ErrMismatch) {
+		logger.Log(ctx, forwarder.options.Logger, logger.EventAnswerMismatched,
+			slog.String("Runner", slot.Runner), slog.String("Request", call.request.ID), slog.String("Attempt", id), logger.Error(err))
+	}
+	return response, err
+}
+
 // forward hands the request to a peer.
 func (forwarder *Forwarder) forward(ctx context.Context, call *call, peer string) answer {
 	ctx, span := forwarder.options.Tracer.Start(ctx, "peer",
@@ -175,6 +202,8 @@
 		trace.WithAttributes(attribute.String("Peer", peer)),
 	)
 	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, call.request.Deadline.Add(forwardGrace))
+	defer cancel()
 	refused := true
 	defer func() {
 		forwarder.mu.Lock()
@@ -182,13 +211,15 @@
 		call.service.peers.Return(peer, refused)
 	}()
 	id := call.nextID()
+	span.SetAttributes(attribute.String("Attempt", id))
 	reply, err := forwarder.options.Forward(ctx, peer, call.message(id))
 	if err == nil && reply.GetId() != id {
 		err = errors.Errorf("reply carries %q", reply.GetId())
 	}
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
-		forwarder.warn(ctx, eventForwardFailed, "forward failed", peer, id, err)
+		logger.Log(ctx, forwarder.options.Logger, logger.EventForwardFailed,
+			slog.String("Peer", peer), slog.String("Request", call.request.ID), slog.String("Attempt", id), logger.Error(err))
 		outcome := retrier.Outcome(retrier.Uncertain{
 			Reason: fmt.Sprintf("peer may have run the request: %v", err),
 		})
@@ -223,12 +254,8 @@
 	}
 }
 
-// warn logs a fault of a runner or peer at one attempt.
-func (forwarder *Forwarder) warn(ctx context.Context, event int, text, instance, id string, err error) {
-	forwarder.options.Logger.WarnContext(ctx, text,
-		slog.Int("Event", event),
-		slog.String("Instance", instance),
-		slog.String("ID", id),
-		slog.String("Error", err.Error()),
-	)
+// rootID returns the ID of the request that an attempt or a forward belongs to.
+func rootID(id string) string {
+	root, _, _ := strings.Cut(id, ".")
+	return root
 }
--- a/internal/shard/controller/probe.go
+++ b/internal/shard/controller/probe.go
@@ -11,6 +11,18 @@
 	if problem := controller.unavailable(); problem != nil {
 		return problem
 	}
-	_, problem := controller.newJob(now, "", job)
-	return problem
+	_, impossible, err := controller.dispatcher.NewJob(now, "", job)
+	return refusalOf(impossible, err)
+}
+
+// refusalOf returns the problem of a job that can never run here, or nil.
+func refusalOf(impossible string, err error) *descriptor.Problem {
+	switch {
+	case err != nil:
+		return descriptor.NewProblem(descriptor.CodeInvalid, 0, "Where: %v", err)
+	case impossible != "":
+		return descriptor.NewProblem(descriptor.CodeImpossible, 0, "the job can never run: %s", impossible)
+	default:
+		return nil
+	}
 }
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -20,14 +20,14 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
-	"pomelomoor/internal/shard/controller"
+	"pomelomoor/internal/shard/caller"
 	"pomelomoor/internal/shard/journaler"
+	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
 const (
-	// flushInterval combines the records of many decisions into one write.
-	flushInterval = 50 * time.Millisecond
 	// tickInterval is the resolution of the controller's time.
 	tickInterval = 50 * time.Millisecond
 	// callTimeout bounds one call of the store. It is below the instance's lease of 4 s.
@@ -51,7 +51,7 @@
 	Executor executor.Executor
 	// Authority tells what the instance's lease allows at this moment. It is called before every
 	// external effect and must be quick.
-	Authority func() controller.Authority
+	Authority func() signaler.Authority
 	// Belongs tells which workers are the shard's; nil means all workers of the shard's site.
 	Belongs func(instance lister.Instance) bool
 	// Limiter is the instance's share of the store's writes; nil means no limit.
@@ -84,12 +84,15 @@
 	options Options
 	tracer  trace.Tracer
 	metrics metrics
+	caller  caller.Caller
 	// syncs holds a place for each call to a worker.
 	syncs   chan struct{}
 	term    atomic.Pointer[term]
 	load    atomic.Pointer[Load]
 	serving sync.WaitGroup
 
+	awaits awaits
+
 	mutex     sync.Mutex
 	config    *parser.Compiled
 	instances *lister.List
@@ -102,7 +105,7 @@
 		return nil, nil, errors.New("driver: Shard, Store, Executor and Authority are required")
 	}
 	if options.Belongs == nil {
-		options.Belongs = siteOf(options.Shard)
+		options.Belongs = watcher.OfSite(options.Shard)
 	}
 	if options.MaxSyncs == 0 {
 		options.MaxSyncs = defaultMaxSyncs
@@ -125,15 +128,15 @@
 		metrics: newMetrics(options.Scope),
 		syncs:   make(chan struct{}, options.MaxSyncs),
 	}
-	return driver, driver.serving.Wait, nil
-}
-
-// siteOf returns a test for the workers of a shard named SITE-INDEX.
-func siteOf(shard descriptor.ShardID) func(lister.Instance) bool {
-	return func(instance lister.Instance) bool {
-		prefix := instance.Place.Site + "-"
-		return len(shard) > len(prefix) && string(shard[:len(prefix)]) == prefix
+	driver.caller = caller.Caller{
+		Executor:  options.Executor,
+		Authority: options.Authority,
+		Now:       options.Now,
+		Tracer:    driver.tracer,
+		Calls:     driver.metrics.syncs,
+		Silent:    driver.metrics.silent,
 	}
+	return driver, driver.serving.Wait, nil
 }
 
 // String names the service in its supervisor's log.
@@ -148,7 +151,7 @@
 func (driver *Driver) Serve(ctx context.Context) error {
 	driver.serving.Add(1)
 	defer driver.serving.Done()
-	if driver.options.Authority() != controller.AuthorityAct {
+	if driver.options.Authority() != signaler.AuthorityAct {
 		return errors.Wrap(ErrEnded, "no lease")
 	}
 	logger := driver.options.Logger.With("Shard", driver.options.Shard)
