--- a/internal/shard/controller/controller_test.go
+++ b/internal/shard/controller/controller_test.go
@@ -48,8 +48,7 @@
 }
 
 // happen lets one random thing happen.
-func (world *world) happen() {
-	t := world.t
+func (world *world) happen(t *rapid.T) {
 	owner := world.owner()
 	machine := world.workers[rapid.IntRange(0, len(world.workers)-1).Draw(t, "worker")]
 	switch rapid.SampledFrom([]string{
@@ -166,7 +165,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		world := newWorld(t, rapid.IntRange(1, 4).Draw(t, "workers"))
 		for range rapid.IntRange(20, 150).Draw(t, "events") {
-			world.happen()
+			world.happen(t)
 			world.check()
 		}
 		world.settle()
@@ -191,3 +190,75 @@
 	}
 	return text
 }
+
+// place runs one idempotent task and returns the worker that it is on.
+func (world *world) place() *machine {
+	world.submit(descriptor.Job{
+		Name:       "job",
+		Caller:     "yard",
+		Team:       "assay",
+		Kind:       descriptor.KindBatch,
+		Idempotent: true,
+		Task:       capacity,
+	})
+	for range 5 {
+		world.round(world.owner())
+	}
+	for _, machine := range world.workers {
+		if len(machine.running) > 0 {
+			return machine
+		}
+	}
+	world.t.Fatal("the task does not run")
+	return nil
+}
+
+// round lets a second pass in which the owners write and exchange messages.
+func (world *world) round(owners ...*owner) {
+	world.advance(time.Second)
+	for _, owner := range owners {
+		world.step(owner, signaler.Tick{})
+		world.write(len(world.owner().queue))
+		for range len(owner.network) {
+			world.deliver(owner, 0)
+		}
+	}
+}
+
+// Guards against an owner cut off from the store that keeps a run alive while the next owner, which
+// reaches the other workers, starts it again.
+func TestOwnersInTwoPartitions(t *testing.T) {
+	world := newWorld(t, 3)
+	machine := world.place()
+	old := world.owner()
+	world.takeOver()
+	machine.hidden = world.owner()
+	for _, other := range world.workers {
+		if other != machine {
+			other.hidden = old
+		}
+	}
+	for range 60 {
+		world.round(old, world.owner())
+	}
+	for name, starts := range world.starts {
+		if starts != 2 {
+			t.Errorf("task %s was started %d times, want 2", name, starts)
+		}
+	}
+}
+
+// Guards against renewing the lease of a worker that hears its owner but is not heard: its run would
+// neither end nor start elsewhere.
+func TestLostReplies(t *testing.T) {
+	world := newWorld(t, 3)
+	world.place().muted = world.owner()
+	for range 60 {
+		world.round(world.owner())
+	}
+	for name, starts := range world.starts {
+		if starts != 2 {
+			t.Errorf("task %s was started %d times, want 2", name, starts)
+		}
+	}
+}
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -20,7 +20,7 @@
 
 // world simulates the journal, the network and the workers around the owners of one shard.
 type world struct {
-	t       *rapid.T
+	t       rapid.TB
 	now     time.Time
 	epoch   uint64
 	records []*recordpb.Record
@@ -53,10 +53,12 @@
 	ticketAt    time.Time
 	expires     time.Time
 	cut         bool
-	unlisted    bool
-	running     map[descriptor.RunID]executor.Start
-	finished    map[descriptor.RunID]executor.RunResult
-	forgotten   map[descriptor.RunID]bool
+	// hidden is an owner that cannot reach the worker, and muted loses all replies to it.
+	hidden, muted *owner
+	unlisted      bool
+	running       map[descriptor.RunID]executor.Start
+	finished      map[descriptor.RunID]executor.RunResult
+	forgotten     map[descriptor.RunID]bool
 }
 
 type message struct {
@@ -73,7 +75,7 @@
 	epochBegin = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 )
 
-func newWorld(t *rapid.T, workers int) *world {
+func newWorld(t rapid.TB, workers int) *world {
 	world := &world{
 		t:      t,
 		now:    epochBegin,
@@ -213,9 +215,12 @@
 	sync := owner.network[0]
 	owner.network = owner.network[1:]
 	machine := world.machine(sync.Worker)
-	if machine.cut {
+	if machine.cut || machine.hidden == owner {
 		fault = max(fault, 1)
 	}
+	if machine.muted == owner {
+		fault = 2
+	}
 	lost := signaler.Unanswered{
 		Worker:         sync.Worker,
 		MayHaveArrived: fault != 3,
@@ -418,6 +423,8 @@
 			switch {
 			case task.Fate.Fate == "NotRun" && world.starts[name] > 0:
 				world.t.Fatalf("task %s is reported as not run and ran", name)
+			case task.Fate.Fate == "Failed" && world.done[name] > 0 && !status.Job.Idempotent && status.Job.Kind != descriptor.KindService:
+				world.t.Fatalf("task %s is reported as failed and was done", name)
 			case task.Fate.Fate == "Done" && world.done[name] == 0 && status.Job.Kind != descriptor.KindService:
 				world.t.Fatalf("task %s is reported as done and was not", name)
 			}
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -20,6 +20,7 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/caller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/signaler"
@@ -71,12 +72,9 @@
 
 // Load is a summary of the shard for other instances.
 type Load struct {
-	Shard    descriptor.ShardID
-	Epoch    uint64
-	Capacity descriptor.Resources
-	Free     descriptor.Resources
-	Waiting  descriptor.Resources
-	Teams    map[string]descriptor.Resources
+	Shard descriptor.ShardID
+	Epoch uint64
+	allocator.Load
 }
 
 // Driver runs one shard. All methods may be called by any goroutine.
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -125,14 +125,10 @@
 
 func (term *term) publish() {
 	term.loadedAt = term.driver.options.Now()
-	load := term.machine.Load()
 	term.driver.load.Store(&Load{
-		Shard:    term.driver.options.Shard,
-		Epoch:    term.journal.Epoch(),
-		Capacity: load.Capacity,
-		Free:     load.Free,
-		Waiting:  load.Waiting,
-		Teams:    load.Teams,
+		Shard: term.driver.options.Shard,
+		Epoch: term.journal.Epoch(),
+		Load:  term.machine.Load(),
 	})
 }
 
