--- /dev/null
+++ b/internal/shard/caller/caller_test.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/work/descriptor"
+)
+
+type recorder struct {
+	requests []executor.SyncRequest
+	reply    executor.SyncReply
+	err      error
+}
+
+func (recorder *recorder) Sync(_ context.Context, _ netip.AddrPort, request executor.SyncRequest) (executor.SyncReply, error) {
+	recorder.requests = append(recorder.requests, request)
+	return recorder.reply, recorder.err
+}
+
+// Guards against a message that leaves after the lease's deadline, a task lease that outlasts what the
+// controller remembers, and an answer that is taken for that of another worker.
+func TestCall(t *testing.T) {
+	decided := time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
+	renewal := executor.SyncRequest{
+		Lease: 15 * time.Second,
+	}
+	command := executor.SyncRequest{
+		Stop: []descriptor.RunID{{
+			Job: "hof-0.x",
+		}},
+	}
+	for _, test := range []struct {
+		name      string
+		authority signaler.Authority
+		request   executor.SyncRequest
+		worker    descriptor.WorkerID
+		err       error
+		sent      bool
+		want      signaler.Event
+	}{
+		{"no authority", signaler.AuthorityNone, renewal, "w0", nil, false, signaler.Unanswered{Worker: "w0"}},
+		{"renewal only", signaler.AuthorityRenew, renewal, "w0", nil, true, nil},
+		{"command without a lease", signaler.AuthorityRenew, command, "w0", nil, false, signaler.Unanswered{Worker: "w0"}},
+		{"command", signaler.AuthorityAct, command, "w0", nil, true, nil},
+		{"other worker", signaler.AuthorityAct, command, "w1", nil, true, signaler.Unanswered{Worker: "w0", MayHaveArrived: true}},
+		{"unreachable", signaler.AuthorityAct, command, "w0", executor.ErrUnreachable, true, signaler.Unanswered{Worker: "w0"}},
+		{"uncertain", signaler.AuthorityAct, command, "w0", executor.ErrUncertain, true, signaler.Unanswered{Worker: "w0", MayHaveArrived: true}},
+		{"fenced", signaler.AuthorityAct, command, "w0", executor.ErrFenced, true, signaler.Fenced{Worker: "w0"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			recorder := &recorder{
+				reply: executor.SyncReply{
+					Worker: test.worker,
+				},
+				err: test.err,
+			}
+			caller := Caller{
+				Executor:  recorder,
+				Authority: func() signaler.Authority { return test.authority },
+				Now:       func() time.Time { return decided.Add(time.Second) },
+				Tracer:    noop.NewTracerProvider().Tracer(""),
+				Calls:     tally.NoopScope.Counter("calls"),
+				Silent:    tally.NoopScope.Counter("silent"),
+			}
+			event := caller.Call(t.Context(), signaler.Sync{
+				Worker:  "w0",
+				Request: test.request,
+				Sent:    decided,
+			})
+			if sent := len(recorder.requests) > 0; sent != test.sent {
+				t.Fatalf("sent: %v", sent)
+			}
+			if _, reported := event.(signaler.Reported); test.want == nil && !reported || test.want != nil && event != test.want {
+				t.Errorf("got %#v", event)
+			}
+			if test.sent && test.request.Lease > 0 && recorder.requests[0].Lease != 14*time.Second {
+				t.Errorf("the lease is %v, a second after the decision", recorder.requests[0].Lease)
+			}
+		})
+	}
+}
