--- a/cmd/pomelomoor/main_test.go
+++ b/cmd/pomelomoor/main_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"pomelomoor/internal/client/caller"
+	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -46,6 +48,7 @@
 			"end":        end,
 			"expand":     expand,
 			"eventually": eventually,
+			"documented": documented,
 		},
 	})
 }
@@ -153,3 +156,34 @@
 	}
 	ts.Fatalf("%q did not appear", args[0])
 }
+
+// documented ADDRESS sends a request to an instance and expects each of its metrics on docs/metrics.md.
+func documented(ts *testscript.TestScript, _ bool, args []string) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "metrics.md"))
+	ts.Check(err)
+	client := caller.Client{
+		Servers: args,
+	}
+	_, _, err = client.Request(context.Background(), presenter.Request{
+		Service: "lending-desk",
+		Caller:  "kiosk",
+		Body:    []byte("{}"),
+	})
+	ts.Check(err)
+	for end := time.Now().Add(time.Minute); ; {
+		metrics, err := client.Metrics(context.Background())
+		ts.Check(err)
+		for line := range strings.Lines(metrics) {
+			name := strings.FieldsFunc(line, func(char rune) bool { return char == '{' || char == ' ' })[0]
+			if !strings.Contains(string(page), "\n| `"+name+"` | ") {
+				ts.Fatalf("metric %s is not explained", name)
+			}
+		}
+		switch {
+		case strings.Contains(metrics, "request.ended"):
+			return
+		case time.Now().After(end):
+			ts.Fatalf("the request is not counted")
+		}
+	}
+}
