--- a/internal/node/logger/logger_test.go
+++ b/internal/node/logger/logger_test.go
@@ -8,8 +8,12 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"log/slog"
 	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -65,6 +69,42 @@
 	}
 }
 
+// TestCited guards against pages that send operators to look for events under a wrong number, or for
+// events that nothing logs.
+func TestCited(t *testing.T) {
+	used := map[string]bool{}
+	err := filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range regexp.MustCompile(`logger\.Event(\w+)`).FindAllStringSubmatch(string(source), -1) {
+			used[match[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cited := 0
+	for _, page := range []string{"operations", "failures", "settings", "traces", "metrics"} {
+		content, err := os.ReadFile("../../../docs/" + page + ".md")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, match := range regexp.MustCompile("\\b(\\d{3}) `([A-Z]\\w+)`").FindAllStringSubmatch(string(content), -1) {
+			cited++
+			number, _ := strconv.Atoi(match[1])
+			if name := Event(number).String(); name != match[2] || !used[name] {
+				t.Errorf("%s.md cites %s as %s; its name is %s, used: %t", page, match[1], match[2], name, used[name])
+			}
+		}
+	}
+	if cited < 15 {
+		t.Errorf("only %d events are cited", cited)
+	}
+}
+
 // TestLog guards against lines whose field names are not Pascal case.
 func TestLog(t *testing.T) {
 	var output bytes.Buffer
