--- a/internal/entry/assembler/shards.go
+++ b/internal/entry/assembler/shards.go
@@ -20,9 +20,9 @@
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/driver"
 	"pomelomoor/internal/shard/manager"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 	"pomelomoor/internal/work/selector"
 )
@@ -275,14 +275,14 @@
 }
 
 // authority translates what the store lease allows.
-func (entry *Entry) authority() controller.Authority {
+func (entry *Entry) authority() signaler.Authority {
 	switch entry.holder.Authority() {
 	case holder.AuthorityAct:
-		return controller.AuthorityAct
+		return signaler.AuthorityAct
 	case holder.AuthorityRenew:
-		return controller.AuthorityRenew
+		return signaler.AuthorityRenew
 	default:
-		return controller.AuthorityNone
+		return signaler.AuthorityNone
 	}
 }
 
