--- a/internal/measure/sampler/store_test.go
+++ b/internal/measure/sampler/store_test.go
@@ -84,17 +84,54 @@
 	}
 }
 
-// writeState leaves a journal of running tasks whose ring is half used, as just before a snapshot.
-func writeState(b *testing.B, client *storer.Client, tasks int) {
+// state is that of a shard.
+type state struct {
+	tasks int
+	// ended and keys are the ended jobs of ten tasks and the keys of jobs elsewhere that are kept.
+	ended int
+	keys  int
+}
+
+// state of a tenth of the target size: running tasks, jobs of a day and keys of thirty days.
+var whole = state{
+	tasks: 3400,
+	ended: 2300,
+	keys:  62_000,
+}
+
+func (state state) String() string {
+	return fmt.Sprintf("Tasks%d/Ended%d/Keys%d", state.tasks, state.ended, state.keys)
+}
+
+// build returns a shard of 140 workers.
+func (state state) build(b *testing.B) *imitator.Imitator {
 	b.Helper()
 	shard := imitator.New(140, &parser.Compiled{})
-	for i := range tasks / 10 {
-		shard.Submit(Job(fmt.Sprint("state-", i), 10, time.Hour))
+	for i := range state.keys {
+		shard.Bind(Job(fmt.Sprint("bound-", i), 10, time.Hour))
+	}
+	for i := 0; i < state.ended; i += 50 {
+		for j := range 50 {
+			shard.Submit(Job(fmt.Sprint("ended-", i+j), 10, time.Hour))
+		}
+		shard.Advance(3 * time.Second)
+		shard.End(shard.Running)
+		shard.Advance(3 * time.Second)
+	}
+	for i := range state.tasks / 10 {
+		shard.Submit(Job(fmt.Sprint("running-", i), 10, time.Hour))
 	}
 	shard.Advance(3 * time.Second)
-	if shard.Running != tasks {
-		b.Fatalf("%d of %d tasks run", shard.Running, tasks)
+	if shard.Running != state.tasks {
+		b.Fatalf("%d of %d tasks run", shard.Running, state.tasks)
 	}
+	return shard
+}
+
+// writeState leaves a journal of running tasks whose ring is half used, as just before a snapshot.
+func writeState(b *testing.B, client *storer.Client, state state) {
+	b.Helper()
+	shard := state.build(b)
 	journal, _, err := journaler.Open(b.Context(), journaler.Options{
 		Store:    client,
 		Shard:    "north-a-0",
@@ -133,10 +170,17 @@
 
 // BenchmarkTakeover opens a journal and loads a controller from it.
 func BenchmarkTakeover(b *testing.B) {
-	for _, tasks := range []int{850, 1700, 3400, 6800} {
-		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+	for _, state := range []state{
+		{tasks: 850},
+		{tasks: 1700},
+		{tasks: 3400},
+		{tasks: 6800},
+		{tasks: 3400, ended: 1150, keys: 31_000},
+		whole,
+	} {
+		b.Run(state.String(), func(b *testing.B) {
 			started, client := startStore(b)
-			writeState(b, client, tasks)
+			writeState(b, client, state)
 			before, counts := Own(), started.Counts()
 			b.ResetTimer()
 			var load time.Duration
@@ -247,3 +291,55 @@
 		})
 	}
 }
+
+// BenchmarkSnapshot writes the second snapshot of a shard of 140 workers with 3400 running tasks, ended
+// jobs and keys, after as many starts as fill half of the ring at 2 records a batch.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, state := range []state{
+		{tasks: 3400},
+		{tasks: 3400, ended: 1150, keys: 31_000},
+		whole,
+	} {
+		b.Run(state.String(), func(b *testing.B) {
+			started, client := startStore(b)
+			shard := state.build(b)
+			journal, _, err := journaler.Open(b.Context(), journaler.Options{
+				Store:    client,
+				Shard:    "north-a-0",
+				RingSize: ringSize,
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := journal.Snapshot(b.Context(), journal.Sequence(), shard.Controller.Snapshot()); err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			var bytes, puts, reads uint64
+			var processor time.Duration
+			for i := range b.N {
+				for j := range 6 {
+					shard.End(10)
+					shard.Bind(Job(fmt.Sprint("more-bound-", i, j), 10, time.Hour))
+					shard.Submit(Job(fmt.Sprint("more-", i, j), 10, time.Hour))
+					shard.Advance(3 * time.Second)
+				}
+				records := shard.Controller.Snapshot()
+				counts, before := started.Counts(), Own()
+				if err := journal.Snapshot(b.Context(), journal.Sequence(), records); err != nil {
+					b.Fatal(err)
+				}
+				now := started.Counts()
+				bytes += now.BytesReceived + now.BytesSent - counts.BytesReceived - counts.BytesSent
+				puts += now.Calls["Put"] + now.Calls["Delete"] - counts.Calls["Put"] - counts.Calls["Delete"]
+				reads += now.Calls["Get"] - counts.Calls["Get"]
+				processor += Own() - before
+			}
+			each := float64(b.N)
+			b.ReportMetric(float64(bytes)/each/1000, "wire-KB")
+			b.ReportMetric(float64(puts)/each, "writes")
+			b.ReportMetric(float64(reads)/each, "reads")
+			b.ReportMetric(float64(processor.Microseconds())/each/1000, "cpu-ms")
+		})
+	}
+}
--- a/internal/shard/journaler/journaler.go
+++ b/internal/shard/journaler/journaler.go
@@ -52,6 +52,8 @@
 	Owner string
 	// RingSize is the number of log slots; 0 means DefaultRingSize. All owners need the same.
 	RingSize uint64
+	// ChunkBytes is about the size of a snapshot's chunks; 0 means 64 KB.
+	ChunkBytes int
 	// NewID returns a unique batch ID; nil means a random one.
 	NewID func() string
 }
@@ -75,8 +77,10 @@
 	// headUnsure means that a write of the head was not answered.
 	headUnsure bool
 	snapshots  uint64
-	// unused lists prefixes whose chunks are to be deleted.
-	unused []string
+	// unused lists chunks to delete unless the head names them, and orphans a prefix whose other chunks
+	// are to be deleted.
+	unused  []string
+	orphans string
 }
 
 type slot struct {
--- a/internal/shard/journaler/journaler_test.go
+++ b/internal/shard/journaler/journaler_test.go
@@ -143,6 +143,8 @@
 		Shard:    "hof-0",
 		Owner:    owner,
 		RingSize: testRing,
+		// A snapshot of the few records of these tests has several chunks.
+		ChunkBytes: 32,
 	})
 }
 
@@ -360,3 +362,44 @@
 		t.Fatalf("loaded %v, %v", names(loaded), err)
 	}
 }
+
+// Guards against a snapshot that writes the whole state again when little of it has changed, and against
+// one that loses a chunk of the snapshot before.
+func TestUnchangedChunks(t *testing.T) {
+	ctx := context.Background()
+	store := newFakeStore()
+	writes := 0
+	store.next = func() fault {
+		writes++
+		return faultNone
+	}
+	var records []*recordpb.Record
+	var written []string
+	for i := range 20_000 {
+		records = append(records, record(fmt.Sprintf("%06d %s", i, strings.Repeat("x", 100))))
+	}
+	for owner := range 3 {
+		journal, loaded, err := Open(ctx, Options{
+			Store: store,
+			Shard: "hof-0",
+		})
+		if err != nil || !slices.Equal(names(loaded), written) {
+			t.Fatalf("owner %d: %d records loaded, want %d: %v", owner, len(loaded), len(written), err)
+		}
+		for range 2 {
+			written = names(records)
+			writes = 0
+			if err := journal.Snapshot(ctx, journal.Sequence(), records); err != nil {
+				t.Fatal(err)
+			}
+			if first := len(records) == 20_000; first && writes < 10 || !first && writes > 6 {
+				t.Errorf("owner %d: %d writes for %d records", owner, writes, len(records))
+			}
+			// The oldest goes, one in the middle changes and another one comes.
+			records = slices.Clone(records[1:])
+			records[len(records)/2] = record("changed")
+			records = append(records, record(fmt.Sprint("new", len(records))))
+			records = append(records, record(fmt.Sprint("newer", len(records))))
+		}
+	}
+}
--- a/internal/shard/journaler/opening.go
+++ b/internal/shard/journaler/opening.go
@@ -20,6 +20,9 @@
 	if options.RingSize <= 2*fenceReserve {
 		return nil, nil, errors.Errorf("journal: ring of %d slots is too small", options.RingSize)
 	}
+	if options.ChunkBytes == 0 {
+		options.ChunkBytes = defaultChunk
+	}
 	if options.NewID == nil {
 		options.NewID = randomID
 	}
@@ -59,7 +62,7 @@
 			journal.epoch = head.Epoch
 			journal.next = head.SnapshotSequence + 1
 			// An owner that died during its first snapshot leaves these chunks behind.
-			journal.unused = append(journal.unused, journal.snapshotPrefix(head.Epoch-1, 1))
+			journal.orphans = journal.snapshotPrefix(head.Epoch-1, 1)
 			return nil
 		case errors.Is(err, storer.ErrConflict), errors.Is(err, storer.ErrUncertain):
 			if ctx.Err() != nil {
@@ -149,17 +152,24 @@
 }
 
 func (journal *Journal) loadSnapshot(ctx context.Context) ([]*recordpb.Record, error) {
+	chunks := make([]recordpb.Chunk, len(journal.head.Chunks))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(loadWindow)
+	for i, name := range journal.head.Chunks {
+		group.Go(func() error {
+			version, err := journal.read(groupCtx, name.Key, &chunks[i])
+			if err == nil && version == 0 {
+				return errors.Wrapf(ErrCorrupt, "chunk %s is missing", name.Key)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
 	var records []*recordpb.Record
-	for i := range journal.head.SnapshotChunks {
-		chunk := &recordpb.Chunk{}
-		version, err := journal.read(ctx, chunkKey(journal.head.SnapshotPrefix, i), chunk)
-		if err != nil {
-			return nil, err
-		}
-		if version == 0 {
-			return nil, errors.Wrapf(ErrCorrupt, "chunk %d of %s is missing", i, journal.head.SnapshotPrefix)
-		}
-		records = append(records, chunk.Records...)
+	for i := range chunks {
+		records = append(records, chunks[i].Records...)
 	}
 	return records, nil
 }
--- a/internal/shard/registrar/registrar.go
+++ b/internal/shard/registrar/registrar.go
@@ -2,8 +2,10 @@
 package registrar
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -127,10 +129,14 @@
 	return expired
 }
 
-// Records returns records that rebuild the bindings.
+// Records returns records that rebuild the bindings, the oldest first, so that most of a snapshot is the
+// same as in the one before.
 func (registrar *Registrar) Records() []*recordpb.Record {
-	records := make([]*recordpb.Record, 0, len(registrar.bindings))
-	for _, binding := range registrar.bindings {
+	bindings := slices.SortedFunc(maps.Values(registrar.bindings), func(one, other Binding) int {
+		return cmp.Or(one.At.Compare(other.At), cmp.Compare(one.Job, other.Job))
+	})
+	records := make([]*recordpb.Record, 0, len(bindings))
+	for _, binding := range bindings {
 		records = append(records, binding.Record())
 	}
 	return records
