--- a/internal/measure/imitator/imitator.go
+++ b/internal/measure/imitator/imitator.go
@@ -14,6 +14,7 @@
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/registrar"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -46,7 +47,7 @@
 	now      time.Time
 	machines map[descriptor.WorkerID]*machine
 	order    []*machine
-	events   []controller.Event
+	events   []signaler.Event
 	nonce    uint64
 }
 
@@ -69,16 +70,16 @@
 	for i := range workers {
 		instances = append(instances, imitator.addMachine(i))
 	}
-	imitator.step(controller.AuthorityChanged{
-		Authority: controller.AuthorityAct,
+	imitator.step(signaler.AuthorityChanged{
+		Authority: signaler.AuthorityAct,
 	})
-	imitator.step(controller.Loaded{
+	imitator.step(signaler.Loaded{
 		Epoch: 1,
 	})
-	imitator.step(controller.ConfigChanged{
+	imitator.step(signaler.ConfigChanged{
 		Config: config,
 	})
-	imitator.step(controller.InstancesChanged{
+	imitator.step(signaler.InstancesChanged{
 		Workers: instances,
 	})
 	// The first message to a worker only asks.
@@ -120,8 +121,8 @@
 // Submit lets the shard accept a job.
 func (imitator *Imitator) Submit(job descriptor.Job) {
 	imitator.nonce++
-	imitator.step(controller.Accept{
-		Request: controller.Request(imitator.nonce),
+	imitator.step(signaler.Accept{
+		Request: signaler.Request(imitator.nonce),
 		ID:      registrar.NewJobID(shard, &job, imitator.now, imitator.nonce),
 		Job:     job,
 	})
@@ -131,7 +132,7 @@
 func (imitator *Imitator) Advance(by time.Duration) {
 	for end := imitator.now.Add(by); imitator.now.Before(end); {
 		imitator.now = imitator.now.Add(tickInterval)
-		imitator.step(controller.Tick{})
+		imitator.step(signaler.Tick{})
 	}
 }
 
@@ -164,7 +165,7 @@
 }
 
 // step lets the controller handle an event and all that follows from it.
-func (imitator *Imitator) step(event controller.Event) {
+func (imitator *Imitator) step(event signaler.Event) {
 	imitator.events = append(imitator.events[:0], event)
 	for i := 0; i < len(imitator.events); i++ {
 		begin := time.Now()
@@ -176,19 +177,19 @@
 	}
 }
 
-func (imitator *Imitator) perform(action controller.Action) {
+func (imitator *Imitator) perform(action signaler.Action) {
 	switch action := action.(type) {
-	case controller.Append:
+	case signaler.Append:
 		imitator.Records += len(action.Records)
 		for _, record := range action.Records {
 			imitator.RecordBytes += proto.Size(record)
 		}
-		imitator.events = append(imitator.events, controller.Written{
+		imitator.events = append(imitator.events, signaler.Written{
 			Token: action.Token,
 		})
-	case controller.Sync:
+	case signaler.Sync:
 		imitator.Syncs++
-		imitator.events = append(imitator.events, controller.Reported{
+		imitator.events = append(imitator.events, signaler.Reported{
 			Worker: action.Worker,
 			Sent:   action.Sent,
 			Reply:  imitator.answer(action),
@@ -197,7 +198,7 @@
 }
 
 // answer is what a worker does with a message.
-func (imitator *Imitator) answer(action controller.Sync) executor.SyncReply {
+func (imitator *Imitator) answer(action signaler.Sync) executor.SyncReply {
 	machine := imitator.machines[action.Worker]
 	for _, id := range action.Request.Acknowledge {
 		for i, result := range machine.report.Finished {
@@ -234,8 +235,8 @@
 // Bind lets the shard, as the registrar, bind the key of a job that another shard takes.
 func (imitator *Imitator) Bind(job descriptor.Job) {
 	imitator.nonce++
-	imitator.step(controller.Bind{
-		Request: controller.Request(imitator.nonce),
+	imitator.step(signaler.Bind{
+		Request: signaler.Request(imitator.nonce),
 		Job:     job,
 		Targets: []descriptor.ShardID{"south-b-0"},
 		Nonce:   imitator.nonce,
--- a/internal/measure/sampler/store_test.go
+++ b/internal/measure/sampler/store_test.go
@@ -15,6 +15,7 @@
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/recordpb"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/standin/keeper"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -194,7 +195,7 @@
 					b.Fatal(err)
 				}
 				machine, begin := controller.New("north-a-0"), time.Now()
-				machine.Step(begin, controller.Loaded{
+				machine.Step(begin, signaler.Loaded{
 					Epoch:   1,
 					Records: records,
 				})
--- /dev/null
+++ b/internal/shard/dispatcher/sweep.go
@@ -0,0 +1,170 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pomelomoor/internal/shard/arbiter"
+	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/watcher"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// sweepInterval is the time between two looks at all jobs.
+const sweepInterval = time.Second
+
+// Tick looks at everything that depends on the time.
+func (dispatcher *Dispatcher) Tick(now time.Time) {
+	if !dispatcher.loaded {
+		return
+	}
+	dispatcher.allocator.Tick(now)
+	for _, worker := range dispatcher.sortedWorkers() {
+		dispatcher.tickWorker(now, worker)
+	}
+	if now.Sub(dispatcher.swept) >= sweepInterval {
+		dispatcher.swept = now
+		dispatcher.sweep(now)
+	}
+	dispatcher.crowd = true
+}
+
+func (dispatcher *Dispatcher) tickWorker(now time.Time, worker *watcher.Worker) {
+	if now.Sub(worker.Asked) >= syncInterval {
+		dispatcher.due(worker)
+	}
+	silent := worker.Suspect || !worker.Reported
+	if silent && dispatcher.authority == signaler.AuthorityAct && len(worker.Runs) > 0 && dispatcher.recoverer.Gone(worker.ID, now) {
+		for _, run := range worker.SortedRuns() {
+			dispatcher.giveUp(now, run)
+		}
+	}
+	unused := !worker.Listed && dispatcher.listed && len(worker.Runs) == 0 && !worker.InFlight
+	if unused && (silent || len(worker.Ends) == 0) {
+		delete(dispatcher.workers, worker.ID)
+		dispatcher.allocator.RemoveWorker(worker.ID)
+		dispatcher.recoverer.Forget(worker.ID)
+		dispatcher.crowd = true
+	}
+}
+
+// giveUp ends a run whose worker's lease has provably lapsed.
+func (dispatcher *Dispatcher) giveUp(now time.Time, run *arbiter.Run) {
+	if run.Phase == arbiter.PhaseReady || run.Phase == arbiter.PhaseIntending {
+		dispatcher.stop(now, run, "the worker was lost before the start was sent")
+		return
+	}
+	dispatcher.lose(now, run, "the worker was lost and its lease has lapsed")
+}
+
+// sweep looks at the times of all jobs: pauses that are over, deadlines that have passed, runs that
+// last too long.
+func (dispatcher *Dispatcher) sweep(now time.Time) {
+	if dispatcher.authority != signaler.AuthorityAct {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
+		job := dispatcher.jobs[id]
+		if job.Ended {
+			continue
+		}
+		if !job.Resume.IsZero() && !now.Before(job.Resume) {
+			job.Resume = time.Time{}
+			dispatcher.queueAll(job)
+		}
+		if job.Unchecked && dispatcher.complete() {
+			dispatcher.checkPossible(now, job)
+		}
+		deadline := job.Description().Deadline
+		if !deadline.IsZero() && now.After(deadline) && !job.Service() {
+			dispatcher.expire(now, job)
+		}
+		dispatcher.watch(now, job)
+	}
+}
+
+// checkPossible ends a job that no worker could ever hold. It looks once: a job that was possible
+// waits for its workers to come back.
+func (dispatcher *Dispatcher) checkPossible(now time.Time, job *arbiter.Job) {
+	job.Unchecked = false
+	reason := dispatcher.allocator.Impossible(now, job.Work)
+	if reason == "" || job.Ran() || len(job.InState(arbiter.TaskWaiting)) < len(job.Tasks) {
+		return
+	}
+	for i := range job.Tasks {
+		job.Tasks[i].Drop("the job can never run: "+reason, reason)
+	}
+	dispatcher.settle(now, job)
+}
+
+// expire ends the waiting tasks of a job whose deadline has passed. Runs in progress go on.
+func (dispatcher *Dispatcher) expire(now time.Time, job *arbiter.Job) {
+	waiting := job.InState(arbiter.TaskWaiting)
+	if len(waiting) == 0 || job.Restarting {
+		return
+	}
+	dispatcher.allocator.Unqueue(job.ID)
+	dispatcher.note(now, job, "Expired", "the deadline passed while %d tasks were waiting", len(waiting))
+	for _, index := range waiting {
+		job.Tasks[index].Drop("the deadline passed before the task started", "the deadline passed between two attempts")
+	}
+	dispatcher.settle(now, job)
+}
+
+func (dispatcher *Dispatcher) watch(now time.Time, job *arbiter.Job) {
+	if job.Service() {
+		return
+	}
+	for i := range job.Tasks {
+		run := job.Tasks[i].Run
+		if run == nil || run.Phase != arbiter.PhaseRunning || run.Straggling {
+			continue
+		}
+		if dispatcher.allocator.Straggling(job.Work, now.Sub(run.Since)) {
+			run.Straggling = true
+			dispatcher.note(now, job, "Straggling", "task %d runs far longer than expected, since %s", i, run.Since.Format(time.RFC3339))
+		}
+	}
+}
+
+// place starts what fits and names work to preempt.
+func (dispatcher *Dispatcher) place(now time.Time) {
+	result := dispatcher.allocator.Pass(now)
+	for _, placement := range result.Placements {
+		job := dispatcher.jobs[placement.Work.ID]
+		job.Reason = ""
+		dispatcher.begin(now, job, placement.Run, dispatcher.workers[placement.Worker])
+	}
+	for _, refusal := range result.Refusals {
+		job := dispatcher.jobs[refusal.Job]
+		if job.Wait(refusal.Reason) {
+			dispatcher.note(now, job, "Waiting", "%s", refusal.Reason)
+		}
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(result.Preempt), watcher.CompareRuns) {
+		dispatcher.preempt(now, id, result.Preempt[id])
+	}
+}
+
+func (dispatcher *Dispatcher) preempt(now time.Time, id descriptor.RunID, by descriptor.JobID) {
+	job := dispatcher.jobs[id.Job]
+	if job == nil {
+		return
+	}
+	run := job.Tasks[id.Task].Run
+	if run == nil || run.ID != id || run.Phase != arbiter.PhaseRunning || run.Stop || run.Checkpoint {
+		return
+	}
+	run.Checkpoint = true
+	dispatcher.note(now, job, "Preempted", "task %d is checkpointed to make room for job %s", id.Task, by)
+	dispatcher.wake(dispatcher.worker(run.Worker))
+}
+
+func (dispatcher *Dispatcher) sortedWorkers() []*watcher.Worker {
+	sorted := make([]*watcher.Worker, 0, len(dispatcher.workers))
+	for _, id := range slices.Sorted(maps.Keys(dispatcher.workers)) {
+		sorted = append(sorted, dispatcher.workers[id])
+	}
+	return sorted
+}
