--- a/internal/shard/journaler/journaler.go
+++ b/internal/shard/journaler/journaler.go
@@ -81,6 +81,8 @@
 	// are to be deleted.
 	unused  []string
 	orphans string
+	// versions holds those of the chunks that this owner wrote.
+	versions map[string]storer.Version
 }
 
 type slot struct {
--- a/internal/shard/journaler/opening.go
+++ b/internal/shard/journaler/opening.go
@@ -27,8 +27,9 @@
 		options.NewID = randomID
 	}
 	journal := &Journal{
-		options: options,
-		slots:   make([]slot, options.RingSize),
+		options:  options,
+		slots:    make([]slot, options.RingSize),
+		versions: map[string]storer.Version{},
 	}
 	if err := journal.raiseEpoch(ctx); err != nil {
 		return nil, nil, err
--- a/internal/shard/journaler/snapshot.go
+++ b/internal/shard/journaler/snapshot.go
@@ -71,9 +71,11 @@
 			name.Key = chunkKey(head.SnapshotPrefix, created)
 			created++
 			journal.unused = append(journal.unused, name.Key)
-			if err := journal.writeChunk(ctx, name.Key, value); err != nil {
+			version, err := journal.writeChunk(ctx, name.Key, value)
+			if err != nil {
 				return err
 			}
+			journal.versions[name.Key] = version
 		}
 		head.Chunks = append(head.Chunks, name)
 	}
@@ -127,27 +129,27 @@
 }
 
 // writeChunk repeats a write with a lost answer until it is seen to be there.
-func (journal *Journal) writeChunk(ctx context.Context, key string, value []byte) error {
+func (journal *Journal) writeChunk(ctx context.Context, key string, value []byte) (storer.Version, error) {
 	var version storer.Version
 	for ctx.Err() == nil {
-		_, err := journal.options.Store.Put(ctx, key, value, version, 0)
+		written, err := journal.options.Store.Put(ctx, key, value, version, 0)
 		switch {
 		case err == nil:
-			return nil
+			return written, nil
 		case !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUncertain):
-			return ErrUnavailable
+			return 0, ErrUnavailable
 		}
 		// The key is this attempt's own, so a conflict can only come from its own lost answer.
 		entry, err := journal.options.Store.Get(ctx, key)
 		if err != nil && !errors.Is(err, storer.ErrNotFound) {
-			return ErrUnavailable
+			return 0, ErrUnavailable
 		}
 		if err == nil && bytes.Equal(entry.Value, value) {
-			return nil
+			return entry.Version, nil
 		}
 		version = entry.Version
 	}
-	return ErrUnavailable
+	return 0, ErrUnavailable
 }
 
 // advance makes the snapshot valid. Only an owner of a newer epoch can change the head meanwhile.
@@ -238,8 +240,14 @@
 	}
 }
 
-// removeChunk reports whether there was a chunk.
+// removeChunk reports whether there was a chunk. One of an earlier owner has to be read for its version.
 func (journal *Journal) removeChunk(ctx context.Context, key string) (bool, error) {
+	if version, ok := journal.versions[key]; ok {
+		delete(journal.versions, key)
+		if err := journal.options.Store.Delete(ctx, key, version); err == nil {
+			return true, nil
+		}
+	}
 	entry, err := journal.options.Store.Get(ctx, key)
 	if errors.Is(err, storer.ErrNotFound) {
 		return false, nil
