--- a/internal/measure/imitator/bench_test.go
+++ b/internal/measure/imitator/bench_test.go
@@ -132,15 +132,19 @@
 func reportState(b *testing.B, imitator *Imitator) {
 	b.Helper()
 	size := 0
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
 	begin := time.Now()
 	records := imitator.Controller.Snapshot()
 	took := time.Since(begin)
+	runtime.ReadMemStats(&after)
 	for _, record := range records {
 		size += proto.Size(record)
 	}
 	b.ReportMetric(float64(size)/1000, "snapshot-KB")
 	b.ReportMetric(float64(len(records)), "snapshot-records")
 	b.ReportMetric(float64(took.Microseconds())/1000, "snapshot-ms")
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/1000, "snapshot-allocated-KB")
 	clear(records)
 	b.ReportMetric(retained(imitator)/1000, "retained-KB")
 }
--- a/internal/measure/sampler/entry_test.go
+++ b/internal/measure/sampler/entry_test.go
@@ -222,3 +222,34 @@
 		})
 	}
 }
+
+// BenchmarkKept observes an entry instance that has taken over a shard with ended jobs and keys and no
+// workers.
+func BenchmarkKept(b *testing.B) {
+	program := build(b)
+	for _, state := range []state{
+		{},
+		{ended: 1150, keys: 31_000},
+		{ended: 2300, keys: 62_000},
+	} {
+		b.Run(state.String(), func(b *testing.B) {
+			cell := &Cell{
+				Program:   program,
+				Directory: b.TempDir(),
+			}
+			defer cell.Close()
+			if err := cell.Open(0); err != nil {
+				b.Fatal(err)
+			}
+			writeState(b, dialStore(b, cell.Keeper), state)
+			if _, err := cell.StartEntry(); err != nil {
+				b.Fatal(err)
+			}
+			const settling = 15 * time.Second
+			if err := caller.Sleep(b.Context(), settling); err != nil {
+				b.Fatal(err)
+			}
+			observe(b, cell)
+		})
+	}
+}
