controller: answer key conflicts from durable bindings only

Cause: a submission under a key whose binding was still being written was answered with KeyConflict at once. When the write was refused or its owner was lost, the key had never belonged to the other description, so a caller was refused for good for a job that never existed; the answer also counts as proof that an earlier open attempt had no effect (I4). Such submissions now wait for the write like those with the same description.

Before: TestKeyConflictIsDurable fails. After: it passes, with and without the write.

--- a/internal/shard/controller/jobs.go
+++ b/internal/shard/controller/jobs.go
@@ -12,9 +12,13 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
+// bindWait is a binding that is not durable yet.
 type bindWait struct {
 	binding  registrar.Binding
 	requests []signaler.Request
+	// others are requests with another description. The key conflicts with them only once the binding
+	// is durable, since an earlier answer would refuse them for a binding that may never exist.
+	others []signaler.Request
 }
 
 type acceptWait struct {
@@ -33,18 +37,13 @@
 	binding, bound := controller.durable.Keys.Find(event.Job.Caller, event.Job.Key)
 	key := fmt.Sprintf("%q %q", event.Job.Caller, event.Job.Key)
 	waiting := controller.binding[key]
-	if !bound && waiting != nil {
-		binding = waiting.binding
-	}
 	switch {
-	case (bound || waiting != nil) && binding.Digest != digest:
-		controller.outbox.Act(signaler.AnswerBind{
-			Request: event.Request,
-			Problem: descriptor.NewProblem(descriptor.CodeKeyConflict, 0,
-				"key %q belongs to a job with another description", event.Job.Key),
-		})
+	case bound && binding.Digest != digest:
+		controller.outbox.Act(keyConflict(event.Request, binding))
 	case bound:
 		controller.outbox.Act(answerBind(event.Request, binding, true))
+	case waiting != nil && waiting.binding.Digest != digest:
+		waiting.others = append(waiting.others, event.Request)
 	case waiting != nil:
 		waiting.requests = append(waiting.requests, event.Request)
 	default:
@@ -62,6 +61,14 @@
 	}
 }
 
+func keyConflict(request signaler.Request, binding registrar.Binding) signaler.AnswerBind {
+	return signaler.AnswerBind{
+		Request: request,
+		Problem: descriptor.NewProblem(descriptor.CodeKeyConflict, 0,
+			"key %q belongs to a job with another description", binding.Key),
+	}
+}
+
 func (controller *Controller) bindNew(now time.Time, event signaler.Bind, key string, digest uint64) {
 	problem := controller.unavailable()
 	if problem != nil {
@@ -93,10 +100,13 @@
 			for i, request := range wait.requests {
 				controller.outbox.Act(answerBind(request, wait.binding, i > 0))
 			}
+			for _, request := range wait.others {
+				controller.outbox.Act(keyConflict(request, wait.binding))
+			}
 		}},
 		Refused: func() {
 			delete(controller.binding, key)
-			for _, request := range wait.requests {
+			for _, request := range append(wait.requests, wait.others...) {
 				controller.outbox.Act(signaler.AnswerBind{
 					Request: request,
 					Problem: controller.refusal(),
