--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -130,7 +130,7 @@
 func TestAwait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		local := newDispatcher(&owner{
-			problems: []descriptor.Code{"Unavailable", ""},
+			problems: []descriptor.Code{descriptor.CodeNoOwner, ""},
 		})
 		remote := &peer{
 			dispatcher: local,
--- a/internal/shard/driver/await_test.go
+++ b/internal/shard/driver/await_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing"
 
-	"pomelomoor/internal/shard/controller"
+	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -52,8 +52,8 @@
 		_, err := bench.Await(t.Context(), id)
 		left <- err
 	}()
-	bench.authority.Store(int64(controller.AuthorityNone))
-	if err := <-left; code(err) != descriptor.CodeUnavailable {
+	bench.authority.Store(int64(signaler.AuthorityNone))
+	if err := <-left; code(err) != descriptor.CodeNoOwner {
 		t.Errorf("lost shard: got %v", err)
 	}
 }
--- a/internal/shard/watcher/watcher.go
+++ b/internal/shard/watcher/watcher.go
@@ -27,6 +27,10 @@
 	Incarnation string
 	Ticket      string
 	Description allocator.Worker
+	// Changes tells that the message in flight asks for changes only, and WholeAt when the latest whole
+	// report was asked for.
+	Changes bool
+	WholeAt time.Time
 	// Suspect tells that the latest message got no answer. Its lease is not renewed any more.
 	Suspect  bool
 	InFlight bool
@@ -67,6 +71,24 @@
 	return outdated
 }
 
+// wholeInterval is the time between two whole reports. It bounds the time for which an error in a
+// worker's bookkeeping of its changes lasts.
+const wholeInterval = time.Minute
+
+// Ask decides whether the report on a message may leave out what has not changed.
+func (worker *Worker) Ask(now time.Time, request *executor.SyncRequest) {
+	worker.Changes = worker.Reported && !worker.Suspect && len(worker.Foreign) == 0 && now.Sub(worker.WholeAt) < wholeInterval
+	request.Changes = worker.Changes
+	if !worker.Changes {
+		worker.WholeAt = now
+	}
+}
+
+// Understands reports whether a partial report is one of changes to what is known of the worker.
+func (worker *Worker) Understands(reply executor.SyncReply) bool {
+	return !reply.Partial || worker.Changes && worker.Incarnation == reply.Incarnation
+}
+
 // Command adds all commands for the worker to a message.
 func (worker *Worker) Command(now time.Time, request *executor.SyncRequest) {
 	for _, run := range worker.SortedRuns() {
