controller: let an owner without the store tell final fates only

Cause: an owner whose lease may have lapsed while it could not reach the store (AuthorityRenew) went on answering status calls from memory. Meanwhile its successor accepted jobs and recorded fates, so callers at the former owner were told that an accepted job is not found and that a job that was Done is Pending, for up to 0.9 s until the former owner heard of the higher epoch.

Ruled out: a lost record, since the successor's answers are consistent and stay so.

Such an owner now tells final fates, which cannot change, and refuses the rest as unavailable; a call also checks the authority first, since the process may have been paused since the last tick. The price is that the state of unfinished jobs is unavailable while the store is down. Waiting calls go on waiting. A cancellation that became durable is answered as such whatever authority is left.

Before: TestFormerOwnerTellsOnlyFinalFates fails.

--- a/internal/shard/controller/bind_test.go
+++ b/internal/shard/controller/calls_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -101,3 +102,70 @@
 		bench.expect(4, "")
 	}
 }
+
+func (bench *bench) accept(id descriptor.JobID) {
+	bench.step(signaler.Accept{
+		Request: 1,
+		ID:      id,
+		Job: descriptor.Job{
+			Name:   "note",
+			Caller: "yard",
+			Kind:   descriptor.KindBatch,
+			Task:   capacity,
+		},
+	})
+}
+
+// write makes everything durable.
+func (bench *bench) write() {
+	for len(bench.appends) > 0 {
+		token := bench.appends[0].Token
+		bench.appends = bench.appends[1:]
+		bench.step(signaler.Written{
+			Token: token,
+		})
+	}
+}
+
+// Guards against the answers of an owner that lost the store. Its successor may have accepted jobs
+// and recorded fates since, so an accepted job would be unknown and a job that is done pending again.
+func TestFormerOwnerTellsOnlyFinalFates(t *testing.T) {
+	bench := newBench(t)
+	at := epochBegin.Add(time.Second)
+	open := registrar.NewJobID("hof-0", &descriptor.Job{}, at, 1)
+	ended := registrar.NewJobID("hof-0", &descriptor.Job{}, at, 2)
+	bench.accept(open)
+	bench.accept(ended)
+	bench.write()
+	bench.step(signaler.Cancel{
+		Request: 2,
+		ID:      ended,
+	})
+	bench.write()
+	for _, test := range []struct {
+		authority signaler.Authority
+		id        descriptor.JobID
+		code      descriptor.Code
+		fate      string
+	}{
+		{signaler.AuthorityAct, open, "", "Pending"},
+		{signaler.AuthorityAct, ended, "", "NotRun"},
+		{signaler.AuthorityAct, "hof-0.other", descriptor.CodeNotFound, ""},
+		{signaler.AuthorityRenew, open, descriptor.CodeUnavailable, ""},
+		{signaler.AuthorityRenew, ended, "", "NotRun"},
+		{signaler.AuthorityRenew, "hof-0.other", descriptor.CodeUnavailable, ""},
+		{signaler.AuthorityNone, ended, descriptor.CodeUnavailable, ""},
+	} {
+		bench.step(signaler.AuthorityChanged{
+			Authority: test.authority,
+		})
+		var code descriptor.Code
+		status, problem := bench.controller.Status(test.id, false)
+		if problem != nil {
+			code = problem.Code
+		}
+		if code != test.code || status.Fate.Fate != test.fate {
+			t.Errorf("authority %d, job %s: %v, %+v", test.authority, test.id, problem, status.Fate)
+		}
+	}
+}
--- a/internal/shard/controller/controller.go
+++ b/internal/shard/controller/controller.go
@@ -145,17 +145,30 @@
 	return controller.dispatcher.Load()
 }
 
-// Status returns what the caller of a job may know, with its trail if explain is set.
+// Status returns what the caller of a job may know, with its trail if explain is set. Without full
+// authority another owner may know more, so only a final fate is told then, which can't change.
 func (controller *Controller) Status(id descriptor.JobID, explain bool) (descriptor.JobStatus, *descriptor.Problem) {
-	durable, ok := controller.durable.Jobs[id]
-	live := controller.dispatcher.Job(id)
-	switch {
-	case !controller.loaded || controller.authority == signaler.AuthorityNone:
+	if !controller.loaded || controller.authority == signaler.AuthorityNone {
 		return descriptor.JobStatus{}, controller.unavailable()
-	case !ok || live == nil:
+	}
+	status, ok := controller.status(id, explain)
+	switch {
+	case controller.authority != signaler.AuthorityAct && !status.Fate.Final():
+		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeUnavailable, retryWhenDown,
+			"shard %s cannot tell at present whether its state is the latest", controller.shard)
+	case !ok:
 		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeNotFound, 0, "job %s is not known", id)
 	}
-	return live.Status(durable, explain), nil
+	return status, nil
+}
+
+func (controller *Controller) status(id descriptor.JobID, explain bool) (descriptor.JobStatus, bool) {
+	durable, ok := controller.durable.Jobs[id]
+	live := controller.dispatcher.Job(id)
+	if !ok || live == nil {
+		return descriptor.JobStatus{}, false
+	}
+	return live.Status(durable, explain), true
 }
 
 // unavailable is the problem of work that can't be taken now, or nil.
--- a/internal/shard/controller/jobs.go
+++ b/internal/shard/controller/jobs.go
@@ -188,8 +188,7 @@
 func (controller *Controller) cancel(now time.Time, event signaler.Cancel) {
 	job := controller.dispatcher.Job(event.ID)
 	durable := controller.durable.Jobs[event.ID]
-	answer := func(time.Time) {
-		status, problem := controller.Status(event.ID, false)
+	answer := func(status descriptor.JobStatus, problem *descriptor.Problem) {
 		controller.outbox.Act(signaler.AnswerCancel{
 			Request: event.Request,
 			Status:  status,
@@ -198,16 +197,17 @@
 	}
 	switch {
 	case job == nil || durable == nil, job.Ended, !durable.Cancelled.IsZero():
-		answer(now)
+		answer(controller.Status(event.ID, false))
 	case controller.unavailable() != nil:
-		controller.outbox.Act(signaler.AnswerCancel{
-			Request: event.Request,
-			Problem: controller.unavailable(),
-		})
+		answer(descriptor.JobStatus{}, controller.unavailable())
 	default:
 		controller.outbox.Record(recorder.JobCancelled(job.ID, now))
 		controller.dispatcher.Cancel(now, job)
-		// The answer comes after the records that the cancellation led to at once.
-		controller.outbox.After(answer)
+		// The answer comes after the records that the cancellation led to at once. They are durable
+		// then, whatever authority is left.
+		controller.outbox.After(func(time.Time) {
+			status, _ := controller.status(event.ID, false)
+			answer(status, nil)
+		})
 	}
 }
--- a/internal/shard/driver/await.go
+++ b/internal/shard/driver/await.go
@@ -132,6 +132,10 @@
 		query: func(machine *controller.Controller) answer {
 			for _, id := range ids {
 				status, problem := machine.Status(id, false)
+				if problem != nil && problem.Code == descriptor.CodeUnavailable {
+					// The store is out of reach. The next look may tell, or the ownership ends.
+					continue
+				}
 				if problem != nil || status.Fate.Final() {
 					ended[id] = answer{
 						status:  status,
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -164,6 +164,14 @@
 
 // take starts a call of the API.
 func (term *term) take(ctx context.Context, call call) {
+	// The process may have been paused since the last tick.
+	term.checkAuthority(ctx)
+	if term.over != "" {
+		call.reply <- answer{
+			problem: term.driver.notOwned(),
+		}
+		return
+	}
 	if call.query != nil {
 		call.reply <- call.query(term.machine)
 		return
