shard: reserve learned sizes and relieve workers before memory runs out

Cause: workers were filled by declared sizes only. Work that uses more than it declares was ended by the worker for lack of memory, again and again, and learned sizes were lost with each owner.

Change: a new run reserves the larger of the declared and the learned size, and a running one what it was reported to use, if there is room. A learned size that no worker could hold falls back to the declared one. The memory margin applies only to classes that exceed their declared size.

The relief helps little when all runs grow at once, faster than reports arrive.

--- a/internal/placement/estimator/estimator.go
+++ b/internal/placement/estimator/estimator.go
@@ -139,7 +139,11 @@
 		estimate.MemoryBytes = memory
 		estimate.MilliCPU = cpu
 	} else {
-		estimate.MemoryBytes = max(declared.MemoryBytes, memory)
+		// A class that has kept to its declared size needs no margin on top of it. With one, a shard of
+		// exactly declared work would be packed to ten elevenths only.
+		if state.MemoryBytes > float64(declared.MemoryBytes) {
+			estimate.MemoryBytes = memory
+		}
 		estimate.MilliCPU = max(declared.MilliCPU, cpu)
 	}
 	if state.Times > 0 && (runTime <= 0 || state.Times >= minSamples) {
--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -36,6 +36,8 @@
 	Avoid []descriptor.WorkerID
 
 	where placer.Where
+	// declaredOnly is set when no worker could hold the learned size.
+	declaredOnly bool
 }
 
 // NewWork returns the work of a job. It fails if the job's selector is malformed.
@@ -179,9 +181,36 @@
 	allocator.estimator.Finish(estimator.ClassOf(work.Job), peak, length, !failed, now)
 }
 
-// Observe learns from the measured use of a run in progress.
-func (allocator *Allocator) Observe(work *Work, usage descriptor.Usage) {
+// Observe learns from the measured use of a run in progress, and reserves as much for the run if its
+// worker has the room.
+func (allocator *Allocator) Observe(work *Work, run descriptor.RunID, usage descriptor.Usage) {
 	allocator.estimator.Observe(estimator.ClassOf(work.Job), usage)
+	reservation, _, ok := allocator.placer.Reserved(run)
+	if !ok || usage.MemoryBytes <= reservation.Need.MemoryBytes {
+		return
+	}
+	reservation.Need.MemoryBytes = usage.MemoryBytes
+	// Without the room, the worker has no free memory that other work could take.
+	_ = allocator.placer.Change(reservation)
+}
+
+// Estimates returns what was learned, for the next owner.
+func (allocator *Allocator) Estimates() []estimator.State {
+	return allocator.estimator.Export()
+}
+
+// Learn takes over what an earlier owner had learned.
+func (allocator *Allocator) Learn(states []estimator.State) {
+	allocator.estimator.Import(states)
+}
+
+// need is what a new run of the work reserves: the larger of the declared and the learned size. A
+// learned size that no worker could hold must not keep declared work from running.
+func (allocator *Allocator) need(work *Work) descriptor.Resources {
+	if work.declaredOnly {
+		return work.Job.Task
+	}
+	return allocator.estimate(work).Resources
 }
 
 // Straggling reports whether a run of the work has lasted far longer than expected.
@@ -220,18 +249,21 @@
 	allocator.init()
 	allocator.teams[work.Job.Team] = struct{}{}
 	allocator.orderer.Charge(work.Job.Team, work.Job.Task)
-	if allocator.reserve(work, run, worker, since, allocator.orderer.Borrowing(work.Job.Team)) == nil {
-		return
+	borrowed := allocator.orderer.Borrowing(work.Job.Team)
+	for _, need := range []descriptor.Resources{allocator.need(work), work.Job.Task} {
+		if allocator.reserve(work, need, run, worker, since, borrowed) == nil {
+			return
+		}
 	}
 	allocator.unreserved[run] = worker
 	allocator.crowded[worker]++
 	allocator.index(worker)
 }
 
-func (allocator *Allocator) reserve(work *Work, run descriptor.RunID, worker descriptor.WorkerID, since time.Time, borrowed bool) error {
+func (allocator *Allocator) reserve(work *Work, need descriptor.Resources, run descriptor.RunID, worker descriptor.WorkerID, since time.Time, borrowed bool) error {
 	reservation := placer.Reservation{
 		Run:         run,
-		Need:        work.Job.Task,
+		Need:        need,
 		Rank:        work.rank(borrowed),
 		Preemptible: work.Treatment.Preemptible && work.Job.Checkpointable && work.Job.Idempotent && !work.gang(),
 		End:         allocator.end(work, since),
--- a/internal/shard/allocator/pass.go
+++ b/internal/shard/allocator/pass.go
@@ -90,7 +90,7 @@
 	reservation, ok := allocator.orderer.Reservation(now)
 	return placer.Request{
 		Job:          work.ID,
-		Need:         work.Job.Task,
+		Need:         allocator.need(work),
 		Where:        work.where,
 		Spread:       work.Treatment.Spread,
 		Avoid:        work.Avoid,
@@ -112,7 +112,7 @@
 			Task:    task,
 			Attempt: work.Attempts[task] + 1,
 		}
-		if err := allocator.reserve(work, run, workers[i], now, candidate.Borrowed); err != nil {
+		if err := allocator.reserve(work, allocator.need(work), run, workers[i], now, candidate.Borrowed); err != nil {
 			for _, placement := range result.Placements[first:] {
 				_ = allocator.placer.Release(placement.Run)
 			}
@@ -129,7 +129,15 @@
 }
 
 func (allocator *Allocator) choose(now time.Time, work *Work, count int) ([]descriptor.WorkerID, error) {
-	request := allocator.request(now, work)
+	workers, err := allocator.find(work, allocator.request(now, work), count)
+	if !errors.Is(err, placer.ErrTooLarge) || allocator.need(work) == work.Job.Task {
+		return workers, err
+	}
+	work.declaredOnly = true
+	return allocator.find(work, allocator.request(now, work), count)
+}
+
+func (allocator *Allocator) find(work *Work, request placer.Request, count int) ([]descriptor.WorkerID, error) {
 	if work.gang() {
 		return allocator.placer.PlaceGang(request, count)
 	}
--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -91,7 +91,11 @@
 	// Sent is the time of the only message that carries the start.
 	Sent time.Time
 	// Reserved tells that the allocator counts the run.
-	Reserved   bool
+	Reserved bool
+	// Usage is the latest reported one.
+	Usage descriptor.Usage
+	// Throttled is when the run was told to keep to its declared size; zero means never.
+	Throttled  time.Time
 	Stop       bool
 	Checkpoint bool
 	Straggling bool
--- a/internal/shard/controller/controller.go
+++ b/internal/shard/controller/controller.go
@@ -135,8 +135,9 @@
 	}
 }
 
-// Snapshot returns records that rebuild the durable state.
+// Snapshot returns records that rebuild the durable state, with the sizes learned until now.
 func (controller *Controller) Snapshot() []*recordpb.Record {
+	controller.durable.SetLearned(controller.dispatcher.Estimates())
 	return controller.durable.Records()
 }
 
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -302,6 +302,10 @@
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
+			Usage: descriptor.Usage{
+				Resources: world.use(id),
+				At:        world.now,
+			},
 		})
 	}
 	for _, id := range sortedKeys(machine.finished) {
@@ -310,6 +314,15 @@
 	return reply, true
 }
 
+// use is far more memory than declared for every other task, so that two of them fill a worker.
+func (world *world) use(id descriptor.RunID) descriptor.Resources {
+	used := world.jobs[id.Job].Task
+	if (len(world.jobs)+id.Task)%2 == 0 {
+		used.MemoryBytes = capacity.MemoryBytes / 8 * 5
+	}
+	return used
+}
+
 func (world *world) carryOut(machine *machine, request executor.SyncRequest) {
 	if expires := world.now.Add(request.Lease); request.Lease > 0 && expires.After(machine.expires) {
 		machine.expires = expires
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/placement/estimator"
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
@@ -42,6 +43,8 @@
 
 	// crowd is set when something changed that may let waiting work start.
 	crowd bool
+	// pressed lists workers whose use was reported and not looked at yet.
+	pressed []*watcher.Worker
 	// woken lists workers that may be due for a message.
 	woken []*watcher.Worker
 	swept time.Time
@@ -90,8 +93,14 @@
 	dispatcher.crowd = true
 }
 
+// Estimates returns the learned sizes.
+func (dispatcher *Dispatcher) Estimates() []estimator.State {
+	return dispatcher.allocator.Estimates()
+}
+
 // Place starts waiting work if something has changed since the last call.
 func (dispatcher *Dispatcher) Place(now time.Time) {
+	dispatcher.relieve(now)
 	if !dispatcher.crowd || !dispatcher.loaded || dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
@@ -187,6 +196,7 @@
 // progress wait for the reports of their workers.
 func (dispatcher *Dispatcher) Revive(now time.Time, epoch uint64) {
 	dispatcher.epoch, dispatcher.loaded = epoch, true
+	dispatcher.allocator.Learn(dispatcher.durable.Learned(now))
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.durable.Jobs)) {
 		dispatcher.revive(now, dispatcher.durable.Jobs[id])
 	}
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -243,7 +243,7 @@
 		dispatcher.note(now, run.Job, "Running", "task %d, attempt %d: running on %s", run.ID.Task, run.ID.Attempt, worker.ID)
 	}
 	if !report.Usage.At.IsZero() {
-		dispatcher.allocator.Observe(run.Job.Work, report.Usage)
+		dispatcher.observe(worker, run, report.Usage)
 	}
 }
 
--- a/internal/shard/watcher/watcher.go
+++ b/internal/shard/watcher/watcher.go
@@ -100,6 +100,8 @@
 			request.Stop = append(request.Stop, run.ID)
 		case run.Checkpoint && run.Phase == arbiter.PhaseRunning:
 			request.Checkpoint = append(request.Checkpoint, run.ID)
+		case !run.Throttled.IsZero() && run.Phase == arbiter.PhaseRunning:
+			request.Throttle = append(request.Throttle, run.ID)
 		}
 	}
 	for id, durable := range worker.Ends {
