shard: count what teams use on other shards

Cause: quotas hold for the whole cell, but each shard knew only its own use. A team that used all its quota on one shard was treated on every other one as if it used nothing.

Change: package tallier keeps the use of each shard from the peers' statements and the own drivers, and adds up the other shards for each owned one. The assembler passes the sums on whenever its view changes. Driver.SetElsewhere leads to the event UseElsewhere at the next tick. A shard whose owner is lost keeps its figures until the next one tells others, because its runs go on.

--- a/internal/entry/assembler/shards.go
+++ b/internal/entry/assembler/shards.go
@@ -23,6 +23,7 @@
 	"pomelomoor/internal/shard/driver"
 	"pomelomoor/internal/shard/manager"
 	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/tallier"
 	"pomelomoor/internal/work/descriptor"
 	"pomelomoor/internal/work/selector"
 )
@@ -36,6 +37,7 @@
 	ranker ranker.Ranker
 	list   lister.List
 	config *parser.Compiled
+	use    tallier.Tallier
 }
 
 // shardList returns the cell's shards, which are the same at all instances.
@@ -123,6 +125,43 @@
 	}
 }
 
+// setElsewhere tells each owned shard what the teams use in the other ones. The peers' statements are
+// up to a few seconds old.
+func (shards *shards) setElsewhere() {
+	drivers := shards.drivers()
+	shards.mutex.Lock()
+	defer shards.mutex.Unlock()
+	for _, shard := range shards.entry.shardList() {
+		if owned, ok := drivers[shard.ID]; ok {
+			if load, ok := owned.Load(); ok {
+				shards.use.Set(shard.ID, load.Teams)
+			}
+			continue
+		}
+		if told, ok := shards.told(shard.ID); ok {
+			shards.use.Set(shard.ID, told)
+		}
+	}
+	for shard, owned := range drivers {
+		owned.SetElsewhere(shards.use.Elsewhere(shard))
+	}
+}
+
+// told returns the use of each team by the statement of the shard's owner.
+func (shards *shards) told(shard descriptor.ShardID) (tallier.Use, bool) {
+	for _, owned := range shards.entry.exchanger.Owner(shard).GetShards() {
+		if owned.GetShard() != string(shard) {
+			continue
+		}
+		use := tallier.Use{}
+		for _, team := range owned.GetTeams() {
+			use[team.GetTeam()] = exchanger.Resources(team.GetUsed())
+		}
+		return use, true
+	}
+	return nil, false
+}
+
 func (shards *shards) drivers() map[descriptor.ShardID]*driver.Driver {
 	drivers := map[descriptor.ShardID]*driver.Driver{}
 	for shard, owned := range shards.entry.manager.Owned() {
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -76,6 +76,7 @@
 	}
 	entry.forwarder.SetPeers(members, peers)
 	entry.shards.limiter.SetLimit(rate.Limit(float64(entry.settings.Limits.StoreWrites) / float64(len(live))))
+	entry.shards.setElsewhere()
 	entry.updateReady(len(live))
 	entry.observe()
 }
--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -89,6 +89,8 @@
 	crowded    map[descriptor.WorkerID]int
 	// teams lists all teams that had work.
 	teams map[string]struct{}
+	// elsewhere is the use in other shards.
+	elsewhere map[string]descriptor.Resources
 	// preempted tells when a job last had others checkpointed.
 	preempted map[descriptor.JobID]time.Time
 }
@@ -243,6 +245,19 @@
 	}
 }
 
+// SetElsewhere sets what the teams use in other shards. Teams that are left out use nothing there.
+func (allocator *Allocator) SetElsewhere(teams map[string]descriptor.Resources) {
+	for team := range allocator.elsewhere {
+		if _, ok := teams[team]; !ok {
+			allocator.orderer.SetElsewhere(team, descriptor.Resources{})
+		}
+	}
+	for team, used := range teams {
+		allocator.orderer.SetElsewhere(team, used)
+	}
+	allocator.elsewhere = teams
+}
+
 // Adopt reserves a worker's capacity for a run that is, or may be, on it already. When there is no
 // room by the declared sizes, the worker takes no new runs until this one has ended.
 func (allocator *Allocator) Adopt(work *Work, run descriptor.RunID, worker descriptor.WorkerID, since time.Time) {
--- a/internal/shard/controller/controller.go
+++ b/internal/shard/controller/controller.go
@@ -92,6 +92,8 @@
 		if event.Config != nil {
 			controller.dispatcher.Configure(event.Config)
 		}
+	case signaler.UseElsewhere:
+		controller.dispatcher.SetElsewhere(event.Teams)
 	case signaler.AuthorityChanged:
 		controller.authority = event.Authority
 		controller.dispatcher.SetAuthority(event.Authority)
--- a/internal/shard/controller/sizes_test.go
+++ b/internal/shard/controller/sizes_test.go
@@ -28,7 +28,7 @@
 	nonce      uint64
 }
 
-func newPlant(t *testing.T, workers int, capacity descriptor.Resources) *plant {
+func newPlant(t *testing.T, config *parser.Compiled, workers int, capacity descriptor.Resources) *plant {
 	plant := &plant{
 		t:          t,
 		controller: New("hof-0"),
@@ -48,7 +48,7 @@
 		})
 	}
 	plant.step(signaler.ConfigChanged{
-		Config: &parser.Compiled{},
+		Config: config,
 	})
 	plant.step(signaler.AuthorityChanged{
 		Authority: signaler.AuthorityAct,
@@ -148,7 +148,7 @@
 			MilliCPU:    64_000,
 			MemoryBytes: 64 * gigabyte,
 		}
-		plant := newPlant(t, 8, capacity)
+		plant := newPlant(t, &parser.Compiled{}, 8, capacity)
 		random := rand.New(rand.NewPCG(1, 2))
 		uses := map[descriptor.JobID]int64{}
 		for range 1500 {
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -93,6 +93,12 @@
 	dispatcher.crowd = true
 }
 
+// SetElsewhere gives the use of teams in other shards.
+func (dispatcher *Dispatcher) SetElsewhere(teams map[string]descriptor.Resources) {
+	dispatcher.allocator.SetElsewhere(teams)
+	dispatcher.crowd = true
+}
+
 // Estimates returns the learned sizes.
 func (dispatcher *Dispatcher) Estimates() []estimator.State {
 	return dispatcher.allocator.Estimates()
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -90,6 +90,8 @@
 	serving sync.WaitGroup
 
 	awaits awaits
+	// elsewhere is the latest event of SetElsewhere, or nil.
+	elsewhere atomic.Pointer[signaler.UseElsewhere]
 
 	mutex     sync.Mutex
 	config    *parser.Compiled
@@ -202,6 +204,13 @@
 	driver.notify()
 }
 
+// SetElsewhere gives the use of teams in the cell's other shards. It takes effect at the next tick.
+func (driver *Driver) SetElsewhere(teams map[string]descriptor.Resources) {
+	driver.elsewhere.Store(&signaler.UseElsewhere{
+		Teams: teams,
+	})
+}
+
 func (driver *Driver) notify() {
 	if term := driver.term.Load(); term != nil {
 		select {
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -16,6 +16,7 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -382,3 +383,25 @@
 	}
 	bench.await(first, "Done")
 }
+
+// Guards against a term, above all one after a takeover, that is not told what teams use elsewhere.
+func TestElsewhere(t *testing.T) {
+	bench := newBench(t)
+	for range 2 {
+		stop := bench.serve()
+		bench.SetElsewhere(map[string]descriptor.Resources{
+			"assay": {
+				MilliCPU: 1000,
+			},
+		})
+		for told := false; !told && t.Context().Err() == nil; {
+			bench.ask(t.Context(), call{
+				query: func(*controller.Controller) answer {
+					told = bench.term.Load().elsewhere != nil
+					return answer{}
+				},
+			})
+		}
+		stop()
+	}
+}
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -31,6 +31,8 @@
 	work   sync.WaitGroup
 
 	authority signaler.Authority
+	// elsewhere is what the controller was told last.
+	elsewhere *signaler.UseElsewhere
 	waiters   map[signaler.Request]chan answer
 	request   signaler.Request
 	queue     batcher.Queue
@@ -113,6 +115,10 @@
 
 func (term *term) tick(ctx context.Context) {
 	term.checkAuthority(ctx)
+	if elsewhere := term.driver.elsewhere.Load(); elsewhere != term.elsewhere {
+		term.elsewhere = elsewhere
+		term.step(ctx, *elsewhere)
+	}
 	term.step(ctx, signaler.Tick{})
 	term.flush(ctx)
 	if now := term.driver.options.Now(); now.Sub(term.loadedAt) >= loadInterval {
--- a/internal/shard/signaler/events.go
+++ b/internal/shard/signaler/events.go
@@ -105,6 +105,12 @@
 	Config *parser.Compiled
 }
 
+// UseElsewhere gives the use of all teams in the cell's other shards. A team that is left out uses
+// nothing there.
+type UseElsewhere struct {
+	Teams map[string]descriptor.Resources
+}
+
 // AuthorityChanged tells what the owner may do from now on.
 type AuthorityChanged struct {
 	Authority Authority
@@ -124,6 +130,7 @@
 func (Fenced) isEvent()           {}
 func (InstancesChanged) isEvent() {}
 func (ConfigChanged) isEvent()    {}
+func (UseElsewhere) isEvent()     {}
 func (AuthorityChanged) isEvent() {}
 func (Tick) isEvent()             {}
 
