dispatcher: a submission whose key is bound is no longer refused

Cause: the registrar had bound the key durably, the target then refused the job for the moment, and the caller was told Unavailable, that is, nothing accepted. A submission under the same key with another description later got KeyConflict. Ruled out: an accepted job that was lost, since no job was ever seen under the key. Change: after the binding a passing refusal is told as Uncertain, with the advice to submit again under the same key.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -171,7 +171,21 @@
 	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
 		return dispatcher.acceptOnce(ctx, target, id, job, description, false)
 	})
-	return id, existed, err
+	return id, existed, held(err)
+}
+
+// held turns a passing refusal by the target into an open outcome: the key is bound to the job for good,
+// so it must not look free to the caller. The same submission leads to the job's acceptance later.
+func held(err error) error {
+	problem := asProblem(err)
+	switch {
+	case problem == nil:
+		return nil
+	case presenter.Passing(problem.Code):
+		return presenter.AfterUncertain(problem)
+	default:
+		return problem
+	}
 }
 
 // admitting returns the targets from the first one on that could ever run the job. Targets that do
--- a/internal/entry/presenter/codes.go
+++ b/internal/entry/presenter/codes.go
@@ -23,7 +23,7 @@
 		return http.StatusUnsupportedMediaType
 	case descriptor.CodeOverloaded:
 		return http.StatusTooManyRequests
-	case descriptor.CodeUnavailable, descriptor.CodeDraining:
+	case descriptor.CodeUnavailable, descriptor.CodeNoOwner, descriptor.CodeDraining:
 		return http.StatusServiceUnavailable
 	case descriptor.CodeDeadline:
 		return http.StatusGatewayTimeout
