shard: checkpoint stragglers for shorter work that waits

Cause: a run past four times its estimate was only noted. A few of them held most slots of a loaded shard, and short work waited behind them.

Change: such a run is also logged as JobStraggling. If its job is idempotent and checkpointable and no other task of it waits, and shorter work of the same or a higher urgency that found no room would fit in its place, it is checkpointed. Its job then waits behind all other work of its class, for an hour at most.

--- a/internal/placement/orderer/orderer.go
+++ b/internal/placement/orderer/orderer.go
@@ -28,6 +28,9 @@
 	// Estimate is the expected remaining run time of a task.
 	Estimate time.Duration
 	Arrival  time.Time
+	// Behind is when the job was put behind the others of its class, for the length of the patience;
+	// zero if it was not. Its deadline does not count then.
+	Behind time.Time
 }
 
 // Candidate is work that may start next.
@@ -154,6 +157,11 @@
 	return one.sequence < other.sequence
 }
 
+// behind reports whether the group gives way to all others of its class.
+func (one *group) behind(now time.Time, patience time.Duration) bool {
+	return !one.Behind.IsZero() && now.Before(one.Behind.Add(patience))
+}
+
 // Add queues tasks of a job. If the job is waiting already, its description is replaced and those of
 // the tasks that are not waiting yet are added.
 func (orderer *Orderer) Add(entry Entry, tasks ...int) {
@@ -182,6 +190,11 @@
 		added.due = entry.Arrival.Add(orderer.patience())
 		added.demoted = true
 	}
+	if !entry.Behind.IsZero() {
+		// Work without a deadline that arrives within the patience is due before.
+		added.due = entry.Behind.Add(2 * orderer.patience())
+		added.demoted = true
+	}
 	orderer.jobs[entry.Job] = added
 	orderer.tasks += len(waiting)
 	orderer.push(added)
--- a/internal/placement/orderer/orderer_test.go
+++ b/internal/placement/orderer/orderer_test.go
@@ -299,3 +299,42 @@
 		}
 	}
 }
+
+// Guards against a job that was put behind and still goes before work of its own team that arrives
+// later, or before other teams with higher shares, and against one that is passed over forever.
+func TestBehind(t *testing.T) {
+	begin := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	entry := func(job, team string, arrival time.Duration) orderer.Entry {
+		return orderer.Entry{
+			Job:     descriptor.JobID(job),
+			Team:    team,
+			Urgency: descriptor.UrgencyNormal,
+			Arrival: begin.Add(arrival),
+		}
+	}
+	var queue orderer.Orderer
+	queue.Patience = time.Hour
+	for _, team := range []string{"idle", "busy"} {
+		queue.SetTeam(team, descriptor.Resources{
+			MilliCPU: 1000,
+		})
+	}
+	queue.Charge("busy", descriptor.Resources{
+		MilliCPU: 5000,
+	})
+	behind := entry("behind", "idle", 0)
+	behind.Behind = begin
+	queue.Add(behind, 0)
+	queue.Add(entry("own", "idle", 30*time.Minute), 0)
+	queue.Add(entry("other", "busy", 30*time.Minute), 0)
+	for _, want := range []descriptor.JobID{"own", "other", "behind"} {
+		if got, _ := queue.Pop(begin.Add(31 * time.Minute)); got.Job != want {
+			t.Errorf("%s goes first, want %s", got.Job, want)
+		}
+	}
+	queue.Add(behind, 0)
+	queue.Add(entry("own", "idle", 61*time.Minute), 0)
+	if got, _ := queue.Pop(begin.Add(62 * time.Minute)); got.Job != "behind" {
+		t.Errorf("%s goes first after the patience, want behind", got.Job)
+	}
+}
--- a/internal/placement/orderer/walk.go
+++ b/internal/placement/orderer/walk.go
@@ -81,7 +81,7 @@
 
 // first returns the group of a class that starts first.
 func (orderer *Orderer) first(now time.Time, class int) *group {
-	var best, tightest *group
+	var best, tightest, last *group
 	bestStep := 0
 	limit := option(orderer.TeamLookAhead, DefaultTeamLookAhead)
 	orderer.dropIdle(now, class)
@@ -90,6 +90,12 @@
 			continue
 		}
 		head := team.queues[class].groups[0]
+		if head.behind(now, orderer.patience()) {
+			if last == nil || head.before(last) {
+				last = head
+			}
+			continue
+		}
 		share := team.share()
 		step := int(share * shareSteps)
 		if best == nil || step < bestStep || step == bestStep && head.before(best) {
@@ -99,6 +105,9 @@
 			tightest = head
 		}
 	}
+	if best == nil {
+		return last
+	}
 	if tightest != nil && tightest.before(best) && !best.demoted && best.due.Sub(now) > ampleLaxity*best.Estimate {
 		return tightest
 	}
--- a/internal/placement/placer/index.go
+++ b/internal/placement/placer/index.go
@@ -17,7 +17,8 @@
 	return indexer.NewWhere(selectors...)
 }
 
-func (placer *Placer) attach(worker *entry) {
+// labels returns the worker's own labels and those that follow from its place.
+func (worker *entry) labels() descriptor.Labels {
 	labels := maps.Clone(worker.Labels)
 	if labels == nil {
 		labels = descriptor.Labels{}
@@ -28,11 +29,15 @@
 	if worker.Place.Site != "" {
 		labels["Site"] = worker.Place.Site
 	}
+	return labels
+}
+
+func (placer *Placer) attach(worker *entry) {
 	worker.item.Value = worker
 	worker.item.Ordinal = worker.ordinal
 	worker.item.Capacity = worker.Capacity
 	worker.item.Tag = int(worker.State)
-	placer.index.Add(&worker.item, labels)
+	placer.index.Add(&worker.item, worker.labels())
 	placer.capacity = placer.capacity.Add(worker.Capacity)
 	placer.balance = newBalance(placer.capacity)
 	placer.joinRack(worker)
--- a/internal/placement/placer/probe.go
+++ b/internal/placement/placer/probe.go
@@ -125,3 +125,16 @@
 	}
 	return cost
 }
+
+// InPlaceOf reports whether a task would fit on the worker of a run if that run ended.
+func (placer *Placer) InPlaceOf(request Request, run descriptor.RunID) bool {
+	current, ok := placer.runs[run]
+	if !ok {
+		return false
+	}
+	worker := current.worker
+	return worker.State == InUse && (!worker.held || request.Holder) &&
+		!slices.Contains(request.Avoid, worker.ID) &&
+		request.Where.Matches(worker.labels()) &&
+		request.Need.Fits(worker.free.Add(current.Need))
+}
--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -32,6 +32,8 @@
 	Arrival   time.Time
 	// Attempts holds the number of the latest attempt of each task.
 	Attempts []int
+	// Behind is when a run of the job last gave way as a straggler; zero means never.
+	Behind time.Time
 	// Avoid lists workers on which the job's runs failed.
 	Avoid []descriptor.WorkerID
 
@@ -215,11 +217,6 @@
 	return allocator.estimate(work).Resources
 }
 
-// Straggling reports whether a run of the work has lasted far longer than expected.
-func (allocator *Allocator) Straggling(work *Work, elapsed time.Duration) bool {
-	return allocator.estimate(work).Straggling(elapsed)
-}
-
 func (allocator *Allocator) estimate(work *Work) estimator.Estimate {
 	return allocator.estimator.Estimate(estimator.ClassOf(work.Job), work.Job.Task, work.Job.RunTime.Duration)
 }
@@ -321,6 +318,7 @@
 		Deadline: work.Job.Deadline,
 		Estimate: allocator.estimate(work).RunTime,
 		Arrival:  work.Arrival,
+		Behind:   work.Behind,
 	}, tasks...)
 }
 
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/shard/watcher"
@@ -64,6 +65,7 @@
 	if dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
+	var stragglers []allocator.Straggler
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
 		job := dispatcher.jobs[id]
 		if job.Ended {
@@ -80,7 +82,11 @@
 		if !deadline.IsZero() && now.After(deadline) && !job.Service() {
 			dispatcher.expire(now, job)
 		}
-		dispatcher.watch(now, job)
+		stragglers = append(stragglers, dispatcher.watch(now, job)...)
+	}
+	displaced := dispatcher.allocator.Displace(now, stragglers)
+	for _, id := range slices.SortedFunc(maps.Keys(displaced), watcher.CompareRuns) {
+		dispatcher.displace(now, id, displaced[id])
 	}
 }
 
@@ -112,20 +118,50 @@
 	dispatcher.settle(now, job)
 }
 
-func (dispatcher *Dispatcher) watch(now time.Time, job *arbiter.Job) {
+// watch notes the runs of a job that last too long and returns those that may give way to others.
+func (dispatcher *Dispatcher) watch(now time.Time, job *arbiter.Job) []allocator.Straggler {
 	if job.Service() {
-		return
+		return nil
 	}
+	var movable []allocator.Straggler
 	for i := range job.Tasks {
 		run := job.Tasks[i].Run
-		if run == nil || run.Phase != arbiter.PhaseRunning || run.Straggling {
+		if run == nil || run.Phase != arbiter.PhaseRunning {
 			continue
 		}
-		if dispatcher.allocator.Straggling(job.Work, now.Sub(run.Since)) {
+		elapsed := now.Sub(run.Since)
+		if !run.Straggling && dispatcher.allocator.Straggling(job.Work, elapsed) {
 			run.Straggling = true
-			dispatcher.note(now, job, "Straggling", "task %d runs far longer than expected, since %s", i, run.Since.Format(time.RFC3339))
+			dispatcher.note(now, job, signaler.CodeStraggling, "task %d runs far longer than expected, since %s", i, run.Since.Format(time.RFC3339))
+		}
+		if run.Straggling && movableRun(run) {
+			movable = append(movable, allocator.Straggler{
+				Work:    job.Work,
+				Run:     run.ID,
+				Elapsed: elapsed,
+			})
 		}
 	}
+	return movable
+}
+
+// movableRun reports whether a straggler can go on elsewhere later. A job is queued as a whole, so its
+// other waiting tasks would be put behind with the straggler.
+func movableRun(run *arbiter.Run) bool {
+	job := run.Job
+	return !run.Stop && !run.Checkpoint && !job.Cancelled && !job.Gang() &&
+		job.Description().Idempotent && job.Description().Checkpointable &&
+		len(job.InState(arbiter.TaskWaiting)) == 0
+}
+
+// displace checkpoints a straggler. Its task waits behind shorter work afterwards.
+func (dispatcher *Dispatcher) displace(now time.Time, id descriptor.RunID, by descriptor.JobID) {
+	job := dispatcher.jobs[id.Job]
+	run := job.Tasks[id.Task].Run
+	run.Checkpoint = true
+	job.Work.Behind = now
+	dispatcher.note(now, job, "Displaced", "task %d is checkpointed and waits behind shorter work, such as job %s", id.Task, by)
+	dispatcher.wake(dispatcher.worker(run.Worker))
 }
 
 // place starts what fits and names work to preempt.
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/shard/batcher"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
@@ -252,14 +254,24 @@
 	case signaler.AnswerCancel:
 		term.respond(action.Request, action)
 	case signaler.Explain:
-		term.driver.options.Logger.DebugContext(ctx, "decision about a job", "Event", eventDecision,
-			"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+		term.explain(ctx, action)
 	case signaler.Halt:
 		term.end(action.Reason)
 	}
 	return nil
 }
 
+func (term *term) explain(ctx context.Context, action signaler.Explain) {
+	log := term.driver.options.Logger
+	log.DebugContext(ctx, "decision about a job", "Event", eventDecision,
+		"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+	if action.Decision.Code == signaler.CodeStraggling {
+		logger.Log(ctx, log, logger.EventJobStraggling,
+			slog.String("Shard", string(term.driver.options.Shard)),
+			slog.String("Job", string(action.Job)), slog.String("Text", action.Decision.Text))
+	}
+}
+
 // sync sends a message to a worker and brings its answer to the event loop.
 func (term *term) sync(ctx context.Context, action signaler.Sync) {
 	defer term.work.Done()
--- a/internal/shard/signaler/events.go
+++ b/internal/shard/signaler/events.go
@@ -178,6 +178,9 @@
 	Problem *descriptor.Problem
 }
 
+// CodeStraggling is the code of the decision that a run lasts too long.
+const CodeStraggling = "Straggling"
+
 // Explain tells of a decision about a job.
 type Explain struct {
 	Job      descriptor.JobID
