adapter: show this instance's own revision as it is now

Cause: right after an apply, instances showed revision 0 for the answering instance, whose own statement was up to a second old; get printed Teams: null. Change: the own row takes the revision in force; empty lists are left out. Before: CONFIG 0 after apply of revision 1. Conclusion: the answering instance is never behind itself.

--- a/internal/config/parser/parser.go
+++ b/internal/config/parser/parser.go
@@ -38,8 +38,8 @@
 // Config is the operators' configuration. The zero value is valid and sets nothing.
 type Config struct {
 	// Policies are applied in order; a later one overrides what an earlier one set.
-	Policies []Policy
-	Teams    []Team
+	Policies []Policy `json:",omitempty"`
+	Teams    []Team   `json:",omitempty"`
 }
 
 // Policy changes the treatment of the work that its selector matches.
--- a/internal/entry/adapter/instances.go
+++ b/internal/entry/adapter/instances.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pomelomoor/internal/config/applier"
 	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/peerpb"
@@ -15,6 +16,7 @@
 	// Self is the instance's ID.
 	Self      string
 	Exchanger *exchanger.Exchanger
+	Applier   *applier.Applier
 }
 
 // Instances implements handler.Instances.
@@ -48,7 +50,9 @@
 		FreeSlots:      map[string]int{},
 	}
 	if document.Self {
+		// The own statement is as old as the last exchange.
 		document.Heard = time.Now()
+		document.ConfigRevision = instances.Applier.Current().Revision
 	}
 	for _, shard := range member.GetShards() {
 		document.Shards = append(document.Shards, presenter.Shard{
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -364,6 +364,7 @@
 		Instances: adapter.Instances{
 			Self:      entry.id,
 			Exchanger: entry.exchanger,
+			Applier:   entry.applier,
 		},
 		Readiness: entry,
 		Metrics:   entry.meter,
