shard: end throttled runs that do not shrink

Cause: whether a throttled run had shrunk was judged by the time of its latest measurement. Reports leave out a use that has not changed, so that a run which ignored the throttling was not ended until the next whole report, up to a minute later.

Change: the effect of throttling may take 6 s by the owner's time, and workers with throttled runs beyond their declared size are looked at each second without a new report. The simulated workers of the controller's tests report changes of use, and scripts can set it.

Figures: go test ./internal/shard/controller -run TestScripts/pressure. Before: throttled at 7 s and not ended until the job was done at 21 s. After: throttled at 7 s, checkpointed at 12 s, and started on another worker by its learned size. TestRandomFaults passes with -rapid.checks=3000.

Conclusion: a worker near its memory is relieved within seconds.

--- a/internal/shard/controller/script_test.go
+++ b/internal/shard/controller/script_test.go
@@ -34,6 +34,7 @@
 //	cancel PREFIX             cancels the jobs whose names begin so
 //	config FILE               puts a configuration in force
 //	finish NAME OUTCOME       ends the runs of a job
+//	use NAME BYTES            changes the memory that the runs of a job use, whatever they are told
 //	always WORKER OUTCOME     ends all runs on a worker in each step; "none" ends that
 //	lose WORKER               cuts a worker off and takes it off the list
 //	step DURATION             changes the length of a step
@@ -62,7 +63,7 @@
 		script.files[file.Name] = file.Data
 	}
 	script.world = newWorld(t, 4)
-	script.honest = true
+	script.honest, script.uses = true, map[descriptor.JobID]int64{}
 	script.observe = script.note
 	return script
 }
@@ -127,6 +128,16 @@
 				}
 			}
 		}
+	case "use":
+		memory, err := strconv.ParseInt(args[1], 10, 64)
+		if err != nil {
+			script.t.Fatal(err)
+		}
+		for id, name := range script.names {
+			if name == args[0] {
+				script.uses[id] = memory
+			}
+		}
 	case "always":
 		script.always[descriptor.WorkerID(args[0])] = executor.Outcome(strings.TrimPrefix(args[1], "none"))
 	case "lose":
@@ -198,6 +209,9 @@
 		for _, start := range action.Request.Start {
 			script.say("%s: start %s", action.Worker, script.runName(start.Run))
 		}
+		for _, run := range action.Request.Throttle {
+			script.say("%s: throttle %s", action.Worker, script.runName(run))
+		}
 		for _, run := range action.Request.Checkpoint {
 			script.say("%s: checkpoint %s", action.Worker, script.runName(run))
 		}
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -35,8 +35,9 @@
 	told     map[string]string
 	request  signaler.Request
 	nonce    uint64
-	// honest work uses what it declares.
+	// honest work uses what it declares, except for the jobs in uses.
 	honest bool
+	uses   map[descriptor.JobID]int64
 	// observe is told of every action, if it is set.
 	observe func(signaler.Action)
 }
@@ -61,8 +62,8 @@
 	hidden, muted *owner
 	unlisted      bool
 	running       map[descriptor.RunID]executor.Start
-	// told lists the runs in the latest reply.
-	told      map[descriptor.RunID]bool
+	// told holds the runs in the latest reply and their memory.
+	told      map[descriptor.RunID]int64
 	finished  map[descriptor.RunID]executor.RunResult
 	forgotten map[descriptor.RunID]bool
 }
@@ -300,17 +301,18 @@
 		reply.Capacity = capacity
 	}
 	told := machine.told
-	machine.told = map[descriptor.RunID]bool{}
+	machine.told = map[descriptor.RunID]int64{}
 	for _, id := range sortedKeys(machine.running) {
-		machine.told[id] = true
-		if reply.Partial && told[id] {
+		used := world.use(id)
+		machine.told[id] = used.MemoryBytes
+		if before, ok := told[id]; ok && reply.Partial && before == used.MemoryBytes {
 			continue
 		}
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
 			Usage: descriptor.Usage{
-				Resources: world.use(id),
+				Resources: used,
 				At:        world.now,
 			},
 		})
@@ -327,6 +329,9 @@
 	if !world.honest && (len(world.jobs)+id.Task)%2 == 0 {
 		used.MemoryBytes = capacity.MemoryBytes / 8 * 5
 	}
+	if memory, ok := world.uses[id.Job]; ok {
+		used.MemoryBytes = memory
+	}
 	return used
 }
 
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -45,6 +45,8 @@
 	crowd bool
 	// pressed lists workers whose use was reported and not looked at yet.
 	pressed []*watcher.Worker
+	// throttled lists runs that were told to shrink.
+	throttled []*arbiter.Run
 	// woken lists workers that may be due for a message.
 	woken []*watcher.Worker
 	swept time.Time
--- a/internal/shard/dispatcher/pressure.go
+++ b/internal/shard/dispatcher/pressure.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"pomelomoor/internal/shard/arbiter"
@@ -13,11 +14,27 @@
 func (dispatcher *Dispatcher) observe(worker *watcher.Worker, run *arbiter.Run, usage descriptor.Usage) {
 	run.Usage = usage
 	dispatcher.allocator.Observe(run.Job.Work, run.ID, usage)
+	dispatcher.press(worker)
+}
+
+func (dispatcher *Dispatcher) press(worker *watcher.Worker) {
 	if count := len(dispatcher.pressed); count == 0 || dispatcher.pressed[count-1] != worker {
 		dispatcher.pressed = append(dispatcher.pressed, worker)
 	}
 }
 
+// pressThrottled has the workers looked at whose throttled runs may not have shrunk.
+func (dispatcher *Dispatcher) pressThrottled() {
+	dispatcher.throttled = slices.DeleteFunc(dispatcher.throttled, func(run *arbiter.Run) bool {
+		return run.Ended || run.Stop || run.Checkpoint
+	})
+	for _, run := range dispatcher.throttled {
+		if throttler.Watched(run) {
+			dispatcher.press(dispatcher.worker(run.Worker))
+		}
+	}
+}
+
 // relieve keeps workers from running out of memory, as far as reports came in since the last call.
 func (dispatcher *Dispatcher) relieve(now time.Time) {
 	pressed := dispatcher.pressed
@@ -26,7 +43,7 @@
 		return
 	}
 	for _, worker := range pressed {
-		for _, relief := range throttler.Choose(worker.Description.Capacity, worker.SortedRuns()) {
+		for _, relief := range throttler.Choose(now, worker.Description.Capacity, worker.SortedRuns()) {
 			dispatcher.curb(now, worker, relief)
 		}
 	}
@@ -39,6 +56,7 @@
 	switch relief.Measure {
 	case throttler.Throttle:
 		run.Throttled = now
+		dispatcher.throttled = append(dispatcher.throttled, run)
 		dispatcher.note(now, job, "Throttled", "task %d uses %d bytes more than declared while %s is nearly full", run.ID.Task, excess, worker.ID)
 		dispatcher.wake(worker)
 	case throttler.Checkpoint:
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -65,6 +65,7 @@
 	if dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
+	dispatcher.pressThrottled()
 	var stragglers []allocator.Straggler
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
 		job := dispatcher.jobs[id]
--- a/internal/shard/throttler/throttler.go
+++ b/internal/shard/throttler/throttler.go
@@ -29,8 +29,10 @@
 const (
 	// fullPercent is the part of a worker's memory from which runs beyond their declared size give way.
 	fullPercent = 95
-	// throttlePatience is how long a throttled run may take to shrink, by the time of its measurement.
-	throttlePatience = 2 * time.Second
+	// throttlePatience is how long the effect of throttling a run may take to show: a measurement is
+	// some seconds old, and a worker is asked every two seconds. The time of the measurement does not
+	// tell, because reports leave out a use that has not changed.
+	throttlePatience = 6 * time.Second
 )
 
 // Excess is the memory that a run uses beyond its declared size, by its latest report.
@@ -41,13 +43,15 @@
 // Choose returns the measures that bring the reported use of a worker's runs below the limit. No run
 // within its declared size is chosen. A run is throttled first, and only one that has not shrunk
 // after that is ended.
-func Choose(capacity descriptor.Resources, runs []*arbiter.Run) []Relief {
+//
+// The result is to be asked for again while a run is Watched, also without a new report.
+func Choose(now time.Time, capacity descriptor.Resources, runs []*arbiter.Run) []Relief {
 	limit := capacity.MemoryBytes / 100 * fullPercent
 	var used int64
 	var candidates []*arbiter.Run
 	for _, run := range runs {
-		used += expected(run)
-		if candidate(run) {
+		used += expected(now, run)
+		if candidate(now, run) {
 			candidates = append(candidates, run)
 		}
 	}
@@ -73,12 +77,17 @@
 	return chosen
 }
 
+// Watched reports whether a throttled run was last seen beyond its declared size.
+func Watched(run *arbiter.Run) bool {
+	return !run.Throttled.IsZero() && !run.Stop && !run.Checkpoint && Excess(run) > 0
+}
+
 // expected is the use that follows from the reported use and the measures already taken.
-func expected(run *arbiter.Run) int64 {
+func expected(now time.Time, run *arbiter.Run) int64 {
 	switch {
 	case run.Stop || run.Checkpoint:
 		return 0
-	case shrinking(run):
+	case shrinking(now, run):
 		return min(run.Usage.MemoryBytes, run.Job.Description().Task.MemoryBytes)
 	default:
 		return run.Usage.MemoryBytes
@@ -86,12 +95,12 @@
 }
 
 // shrinking reports whether the effect of throttling a run can't be seen in its reports yet.
-func shrinking(run *arbiter.Run) bool {
-	return !run.Throttled.IsZero() && run.Usage.At.Before(run.Throttled.Add(throttlePatience))
+func shrinking(now time.Time, run *arbiter.Run) bool {
+	return !run.Throttled.IsZero() && now.Before(run.Throttled.Add(throttlePatience))
 }
 
-func candidate(run *arbiter.Run) bool {
-	return run.Phase == arbiter.PhaseRunning && !run.Stop && !run.Checkpoint && Excess(run) > 0 && !shrinking(run)
+func candidate(now time.Time, run *arbiter.Run) bool {
+	return run.Phase == arbiter.PhaseRunning && !run.Stop && !run.Checkpoint && Excess(run) > 0 && !shrinking(now, run)
 }
 
 func measure(run *arbiter.Run) Measure {
--- a/internal/shard/throttler/throttler_test.go
+++ b/internal/shard/throttler/throttler_test.go
@@ -89,7 +89,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var got []string
-			for _, relief := range throttler.Choose(descriptor.Resources{
+			for _, relief := range throttler.Choose(now, descriptor.Resources{
 				MemoryBytes: 100,
 			}, test.runs) {
 				got = append(got, fmt.Sprintf("%s %d", relief.Run.ID.Job, relief.Measure))
