entry/dispatcher: do not call a submission refused that holds its key

The registrar bound the key, the target had no owner, and the submission ended as Unavailable, which proves that it had no effect; another description under the key then met a KeyConflict. Such a submission is Uncertain now: submitted again with the same key it is completed or told why not.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -106,15 +106,15 @@
 	existed := false
 	// A submission can be repeated, since the key finds the same job again.
 	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
-		bound, before, err := dispatcher.submitOnce(ctx, registrar, &job, description, targets)
+		found, before, err := dispatcher.submitOnce(ctx, registrar, &job, description, targets)
 		if id == "" {
 			// Later attempts find the binding of this one.
-			id, existed = bound, before
+			id, existed = found, before
 		}
 		return err
 	})
 	if err != nil {
-		return descriptor.JobStatus{}, false, settle(asProblem(err), existed)
+		return descriptor.JobStatus{}, false, bound(id, asProblem(err))
 	}
 	return descriptor.JobStatus{
 		ID:  id,
@@ -125,6 +125,17 @@
 	}, existed, nil
 }
 
+// bound returns the problem of a submission whose key is bound to job id, if it is. A refusal by the
+// target is not reported then: the key is taken, and a repetition of the submission completes it.
+func bound(id descriptor.JobID, problem *descriptor.Problem) error {
+	if id == "" || !presenter.NotRun(problem.Code) {
+		return problem
+	}
+	return descriptor.NewProblem(descriptor.CodeUncertain, problem.RetryAfter.Duration,
+		"the key is bound to job %s, whose acceptance is open (%s: %s); submit again with the same key",
+		id, problem.Code, problem.Message)
+}
+
 // registrar returns the shard that binds the job's key.
 func (dispatcher *Dispatcher) registrar(job *descriptor.Job) descriptor.ShardID {
 	shards := dispatcher.options.Shards
