--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -114,7 +114,7 @@
 		return err
 	})
 	if err != nil {
-		return descriptor.JobStatus{}, false, bound(id, asProblem(err))
+		return descriptor.JobStatus{}, false, settle(asProblem(err), existed)
 	}
 	return descriptor.JobStatus{
 		ID:  id,
@@ -125,17 +125,6 @@
 	}, existed, nil
 }
 
-// bound returns the problem of a submission whose key is bound to job id, if it is. A refusal by the
-// target is not reported then: the key is taken, and a repetition of the submission completes it.
-func bound(id descriptor.JobID, problem *descriptor.Problem) error {
-	if id == "" || !presenter.NotRun(problem.Code) {
-		return problem
-	}
-	return descriptor.NewProblem(descriptor.CodeUncertain, problem.RetryAfter.Duration,
-		"the key is bound to job %s, whose acceptance is open (%s: %s); submit again with the same key",
-		id, problem.Code, problem.Message)
-}
-
 // registrar returns the shard that binds the job's key.
 func (dispatcher *Dispatcher) registrar(job *descriptor.Job) descriptor.ShardID {
 	shards := dispatcher.options.Shards
@@ -182,7 +171,21 @@
 	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
 		return dispatcher.acceptOnce(ctx, target, id, job, description, false)
 	})
-	return id, existed, err
+	return id, existed, held(err)
+}
+
+// held turns a passing refusal by the target into an open outcome: the key is bound to the job for good,
+// so it must not look free to the caller. The same submission leads to the job's acceptance later.
+func held(err error) error {
+	problem := asProblem(err)
+	switch {
+	case problem == nil:
+		return nil
+	case presenter.Passing(problem.Code):
+		return presenter.AfterUncertain(problem)
+	default:
+		return problem
+	}
 }
 
 // admitting returns the targets from the first one on that could ever run the job. Targets that do
