--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -82,7 +82,7 @@
 			answer = forwarder.forward(ctx, call, peer)
 			if refused, ok := answer.outcome.(retrier.NotRun); ok && waiting.Err() == nil {
 				// The peer's report was out of date; the own queue is still open.
-				call.service.metrics.count("forward_refused", "code", string(refused.Problem.Code))
+				call.service.metrics.Count("forward_refused", "code", string(refused.Problem.Code))
 				continue
 			}
 		} else {
@@ -93,7 +93,7 @@
 		if !verdict.Retry {
 			return call.end(verdict, answer)
 		}
-		call.service.metrics.count("retried", "lane", string(call.lane))
+		call.service.metrics.Count("retried", "lane", string(call.lane))
 	}
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -363,6 +363,6 @@
 	}
 	started := time.Now()
 	result := forwarder.pursue(ctx, call)
-	service.metrics.end(result, time.Since(started))
+	service.metrics.Ended(result.Fate, time.Since(started))
 	return result
 }
--- a/internal/request/forwarder/service.go
+++ b/internal/request/forwarder/service.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/node/logger"
+	"pomelomoor/internal/request/counter"
 	"pomelomoor/internal/request/queuer"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
@@ -24,7 +24,7 @@
 	tickets   map[string]*ticket
 	timer     *time.Timer
 	timerAt   time.Time
-	metrics   metrics
+	metrics   counter.Counter
 }
 
 // ticket is a request that waits for a slot.
@@ -52,7 +52,7 @@
 			Region: forwarder.options.Region,
 		},
 		tickets: map[string]*ticket{},
-		metrics: newMetrics(forwarder.options.Scope, name),
+		metrics: counter.New(forwarder.options.Scope, name),
 	}
 	service.router.SetMembers(forwarder.members)
 	return service
@@ -188,7 +188,7 @@
 	slots := queuer.Slots{}
 	slots.Usable, slots.Free = service.router.Slots(now, item.Lane)
 	if call.onlyFree && slots.Free <= service.queuer.Len(item.Lane) {
-		service.metrics.refused(queuer.ReasonNoSlots)
+		service.metrics.Refused(queuer.ReasonNoSlots)
 		return nil, "", descriptor.NewProblem(descriptor.CodeOverloaded, queuer.MinRetryAfter, "peer has no free slot")
 	}
 	if call.mayForward {
@@ -214,7 +214,7 @@
 			return nil, peer, nil
 		}
 	}
-	service.metrics.refused(refusal.Reason)
+	service.metrics.Refused(refusal.Reason)
 	return nil, "", refusal.Problem()
 }
 
@@ -233,10 +233,10 @@
 
 func (service *service) accept(granted grant, started time.Time) (router.Slot, string, *descriptor.Problem) {
 	if granted.refusal != nil {
-		service.metrics.refused(granted.refusal.Reason)
+		service.metrics.Refused(granted.refusal.Reason)
 		return router.Slot{}, "", granted.refusal.Problem()
 	}
-	service.metrics.wait.RecordDuration(time.Since(started))
+	service.metrics.Waited(time.Since(started))
 	return granted.slot, "", nil
 }
 
@@ -262,37 +262,3 @@
 	}
 	return descriptor.NewProblem(descriptor.CodeUnavailable, 0, "caller gave up before a slot was free")
 }
-
-// metrics of one service.
-type metrics struct {
-	scope tally.Scope
-	wait  tally.Histogram
-	total tally.Histogram
-}
-
-func newMetrics(scope tally.Scope, name string) metrics {
-	scope = scope.SubScope("request").Tagged(map[string]string{
-		"service": name,
-	})
-	durations := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-	return metrics{
-		scope: scope,
-		wait:  scope.Histogram("wait", durations),
-		total: scope.Histogram("total", durations),
-	}
-}
-
-func (metrics *metrics) refused(reason queuer.Reason) {
-	metrics.count("refused", "reason", string(reason))
-}
-
-func (metrics *metrics) count(name, key, value string) {
-	metrics.scope.Tagged(map[string]string{
-		key: value,
-	}).Counter(name).Inc(1)
-}
-
-func (metrics *metrics) end(result Result, took time.Duration) {
-	metrics.count("ended", "fate", descriptor.Record(result.Fate).Fate)
-	metrics.total.RecordDuration(took)
-}
