--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -106,10 +106,10 @@
 	existed := false
 	// A submission can be repeated, since the key finds the same job again.
 	err = dispatcher.retry(ctx, effective, func(ctx context.Context) error {
-		bound, before, err := dispatcher.submitOnce(ctx, registrar, &job, description, targets)
+		found, before, err := dispatcher.submitOnce(ctx, registrar, &job, description, targets)
 		if id == "" {
 			// Later attempts find the binding of this one.
-			id, existed = bound, before
+			id, existed = found, before
 		}
 		return err
 	})
