assembler: be ready, and own shards, only with the configuration known

An instance was ready as soon as the store had granted its lease. The applier now reads the key once before it watches it, which also answers when there is no configuration, and readiness and the takeover of shards wait for that or for a peer. This costs one more read at the start of an instance.

--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -48,6 +48,8 @@
 	current  *parser.Compiled
 	document []byte
 	version  storer.Version
+	// answered tells that the store answered once, even that there is no configuration.
+	answered bool
 }
 
 // Current returns the configuration in force. Revision 0 is the empty one.
@@ -60,6 +62,14 @@
 	return applier.current
 }
 
+// Known reports whether the instance knows the configuration in force: the store has told it, or that
+// there is none, or a peer has.
+func (applier *Applier) Known() bool {
+	applier.mutex.Lock()
+	defer applier.mutex.Unlock()
+	return applier.answered || applier.current != nil
+}
+
 // Document returns the configuration in force as it was applied, with its revision.
 func (applier *Applier) Document() (uint64, []byte) {
 	applier.mutex.Lock()
@@ -70,13 +80,16 @@
 	return applier.current.Revision, applier.document
 }
 
-// Serve watches the store until ctx ends.
+// Serve reads the configuration and watches the store until ctx ends. A watch alone would not answer
+// while there is no configuration.
 func (applier *Applier) Serve(ctx context.Context) error {
 	pause := firstPause
+	next := applier.first
 	for ctx.Err() == nil {
-		err := applier.watch(ctx)
+		err := next(ctx)
 		if err == nil {
 			pause = firstPause
+			next = applier.watch
 			continue
 		}
 		select {
@@ -88,6 +101,14 @@
 	return ctx.Err()
 }
 
+func (applier *Applier) first(ctx context.Context) error {
+	entry, err := applier.Store.Get(ctx, Key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	return applier.take(entry)
+}
+
 func (applier *Applier) watch(ctx context.Context) error {
 	applier.mutex.Lock()
 	after := applier.version
@@ -117,6 +138,7 @@
 	defer applier.mutex.Unlock()
 	// A stale answer must not move the watch back, or it would return at once for ever.
 	applier.version = max(applier.version, entry.Version)
+	applier.answered = true
 	return nil
 }
 
--- a/internal/entry/assembler/shards.go
+++ b/internal/entry/assembler/shards.go
@@ -74,6 +74,10 @@
 // start implements manager.Options.Start. A driver that ends, by an error or a panic, gives its shard
 // up; the shard is then taken over again, from the journal.
 func (shards *shards) start(ctx context.Context, shard descriptor.ShardID) (manager.Running, error) {
+	if !shards.entry.applier.Known() {
+		// Work must not be placed as if there were no policies.
+		return nil, errStarting
+	}
 	made, cleanup, err := shards.build(shard)
 	if err != nil {
 		return nil, err
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -81,13 +81,12 @@
 }
 
 // updateReady makes the instance ready once it knows the configuration in force: from the store, or
-// from peers while the store is down. A cell without any configuration is ready when the store says so.
+// from peers while the store is down. A store lease alone does not tell it.
 func (entry *Entry) updateReady(live int) {
 	if entry.ready.Load() || entry.draining.Load() {
 		return
 	}
-	known := entry.applier.Current().Revision > 0
-	if known || entry.holder.Reachable() {
+	if entry.applier.Known() {
 		entry.ready.Store(true)
 		logger.Log(context.Background(), entry.log, logger.EventReady, slog.Int("Members", live))
 	}
