--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -163,17 +163,18 @@
 	})
 	cell.checkConfig(revision, "third")
 	watch.raise(revision)
-	// With a slow store, instances start that are told by neither store nor peers at once.
-	cell.store.setStore(keeper.Faults{
-		Slow: descriptor.Duration{
-			Duration: 300 * time.Millisecond,
-		},
-	})
-	for range 3 {
-		cell.live()[0].kill()
-		next := cell.startEntry()
+	// Without peers, an instance whose lease is granted before the store tells it the configuration is
+	// not ready yet.
+	for range 6 {
+		for _, entry := range cell.live() {
+			entry.kill()
+		}
+		next := cell.startEntry(func(entry *entry) {
+			entry.store.scatter(600)
+		})
 		watch.add(next)
 		next.awaitReady()
+		next.store.heal()
 	}
 	cell.checkConfig(revision, "third")
 	watch.stop()
--- a/integration/entry_test.go
+++ b/integration/entry_test.go
@@ -43,8 +43,8 @@
 	workers map[string]*link
 }
 
-// startEntry starts one more instance.
-func (cell *cell) startEntry() *entry {
+// startEntry starts one more instance. Its links can be prepared before.
+func (cell *cell) startEntry(prepare ...func(entry *entry)) *entry {
 	cell.t.Helper()
 	cell.mutex.Lock()
 	cell.started++
@@ -58,6 +58,9 @@
 		store:   newLink(cell.t, id+"-store", cell.store.address),
 		workers: map[string]*link{},
 	}
+	for _, change := range prepare {
+		change(entry)
+	}
 	settings := cell.settings()
 	settings.ID = id
 	settings.Advertise = entry.peer.address()
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -106,9 +106,9 @@
 	link.add("timeout", "downstream", `{"timeout": 0}`)
 }
 
-// slow delays answers by milliseconds.
-func (link *link) slow(milliseconds int) {
-	link.add("latency", "downstream", fmt.Sprintf(`{"latency": %d}`, milliseconds))
+// scatter delays each answer by a time of its own, so that answers overtake each other.
+func (link *link) scatter(milliseconds int) {
+	link.add("latency", "downstream", fmt.Sprintf(`{"latency": %d, "jitter": %d}`, milliseconds/2, milliseconds/2))
 }
 
 // heal removes all faults.
