--- a/integration/history_test.go
+++ b/integration/history_test.go
@@ -54,18 +54,6 @@
 	return id
 }
 
-// status returns what callers are told about a job, with its trail.
-func (cell *cell) status(id descriptor.JobID) descriptor.JobStatus {
-	cell.t.Helper()
-	var status descriptor.JobStatus
-	await(cell.t, recoveryLimit, "status of "+string(id), func() error {
-		var err error
-		status, err = cell.client().Status(context.Background(), id, true)
-		return err
-	})
-	return status
-}
-
 // awaitFates waits until all jobs have one of the fates and returns their states.
 func (cell *cell) awaitFates(limit time.Duration, ids []descriptor.JobID, fates ...string) []descriptor.JobStatus {
 	cell.t.Helper()
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -63,7 +63,9 @@
 
 // pass copies in both directions until one of them ends.
 func pass(conn net.Conn, target *netip.AddrPort) {
-	defer conn.Close()
+	defer func() {
+		_ = conn.Close()
+	}()
 	if target == nil {
 		return
 	}
@@ -71,7 +73,9 @@
 	if err != nil {
 		return
 	}
-	defer other.Close()
+	defer func() {
+		_ = other.Close()
+	}()
 	ended := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{conn, other}, {other, conn}} {
 		go func() {
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -28,7 +28,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(directory)
+	defer func() {
+		_ = os.RemoveAll(directory)
+	}()
 	pomelomoor = filepath.Join(directory, "pomelomoor")
 	standin = filepath.Join(directory, "standin")
 	for path, source := range map[string]string{
--- a/integration/outage_test.go
+++ b/integration/outage_test.go
@@ -157,7 +157,7 @@
 		ids = append(ids, cell.submit(once(batch(fmt.Sprintf("note-%d", i), 1, cores(1), 200*time.Millisecond))))
 	}
 	for _, entry := range cell.live() {
-		entry.process.signal(killSignal)
+		entry.signal(killSignal)
 	}
 	for _, entry := range cell.live() {
 		entry.kill()
