arbiter: keep a job Running once a task has started, and Unknown until it ends

Cause: a job between two runs, or whose last run had ended but whose end was not durable yet, was told to be Pending after it had been Running; Pending means that nothing has started. In the same way a job that was Unknown could become Pending or Running when its run was found again or when another task's end was not durable.

Tasks now keep the latest start that a worker reported, and a job is Running from the first one on.

--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -57,6 +57,8 @@
 	Failures int
 	// Ran tells that some run started, or may have.
 	Ran bool
+	// Since is the start of the latest run that a worker reported; zero means none.
+	Since time.Time
 	// Lost tells that the state was TaskUnknown. Such a task is never started again.
 	Lost       bool
 	Checkpoint string
--- a/internal/shard/arbiter/outcome.go
+++ b/internal/shard/arbiter/outcome.go
@@ -11,6 +11,9 @@
 func (job *Job) Apply(index int, result executor.RunResult) {
 	task := &job.Tasks[index]
 	task.Ran = task.Ran || recorder.Started(result.Outcome)
+	if !result.Started.IsZero() {
+		task.Since = result.Started
+	}
 	task.Reason = fmt.Sprintf("%s on %s", result.Outcome, task.Worker)
 	if result.Reason != "" {
 		task.Reason = result.Reason
--- a/internal/shard/arbiter/revival.go
+++ b/internal/shard/arbiter/revival.go
@@ -47,6 +47,7 @@
 	task.Ran = durable.RanAttempt > 0
 	task.Checkpoint = durable.Checkpoint
 	task.Worker = last.Worker
+	task.Since = last.Started
 	// An attempt that first counted as lost and then turned out never to have started stays final.
 	task.Lost = !recorder.Counts(last.Outcome) && slices.Contains(durable.Failures, last.Attempt)
 	if !durable.Open() {
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -33,8 +33,10 @@
 	starts   map[string]int
 	done     map[string]int
 	told     map[string]string
-	request  signaler.Request
-	nonce    uint64
+	// fates are those of the jobs that the newest owner told last.
+	fates   map[descriptor.JobID]string
+	request signaler.Request
+	nonce   uint64
 }
 
 type owner struct {
@@ -83,6 +85,7 @@
 		starts: map[string]int{},
 		done:   map[string]int{},
 		told:   map[string]string{},
+		fates:  map[descriptor.JobID]string{},
 	}
 	for i := range workers {
 		machine := &machine{
@@ -124,6 +127,10 @@
 			Authority: signaler.AuthorityRenew,
 		})
 	}
+	// Starts are not in the journal, so a new owner may not know yet that a job is running.
+	maps.DeleteFunc(world.fates, func(_ descriptor.JobID, fate string) bool {
+		return fate == "Running"
+	})
 	world.epoch++
 	fresh := &owner{
 		Controller: New("hof-0"),
@@ -421,6 +428,7 @@
 		if problem != nil {
 			world.t.Fatalf("job %s was accepted and is gone: %v", id, problem)
 		}
+		world.follow(id, status.Fate)
 		ran := 0
 		for _, task := range status.Tasks {
 			name := fmt.Sprintf("%s/%d", id, task.Task)
@@ -438,3 +446,15 @@
 		}
 	}
 }
+
+// follow checks that a job is not pending again once it runs, and that Unknown only becomes final.
+func (world *world) follow(id descriptor.JobID, fate descriptor.FateRecord) {
+	last := world.fates[id]
+	back := last == "Running" && fate.Fate == "Pending" ||
+		last == "Unknown" && fate.Fate != "Unknown" && !fate.Final()
+	if back {
+		status, _ := world.owner().Status(id, true)
+		world.t.Fatalf("job %s was %s and is %+v: %+v\n%s", id, last, fate, status.Tasks, trail(status))
+	}
+	world.fates[id] = fate.Fate
+}
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -239,6 +239,7 @@
 	}
 	if run.Phase != arbiter.PhaseRunning {
 		run.Phase, run.Since = arbiter.PhaseRunning, report.Started
+		run.Task().Since = report.Started
 		run.Task().Ran = true
 		dispatcher.note(now, run.Job, "Running", "task %d, attempt %d: running on %s", run.ID.Task, run.ID.Attempt, worker.ID)
 	}
