dispatcher: record the reported start of a lost run

A run that was lost after its worker had reported it was recorded without its start, so a new owner told that the job is Pending again.

--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -62,6 +62,10 @@
 		// The worker notes a stop that comes before the start and then never starts the run.
 		result.Outcome = recorder.OutcomeNotStarted
 	}
+	if result.Outcome == recorder.OutcomeLost && result.Started.IsZero() {
+		// The start was reported before the run was lost. A new owner learns of it from the record only.
+		result.Started = run.Since
+	}
 	worker := dispatcher.worker(run.Worker)
 	delete(worker.Runs, run.ID)
 	if run.Reserved {
