tracker: pass the figures per team on every 30 s only

Cause: a statement that is passed on to another region or from there into the own one always carried the figures per team, four fifths of its bytes, although the owners themselves leave them out of most statements. Change: the delegate includes them every 30 s for each peer; receivers keep what they have.

--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -25,6 +25,9 @@
 	DefaultRemoteSuspectAfter = 8 * time.Second
 	// relayInterval is how often a delegate passes on the members of other regions.
 	relayInterval = 4 * time.Second
+	// teamsInterval is how often the figures per team of other members are passed on. They are the largest
+	// part of a statement, and each region has one delegate for all of them.
+	teamsInterval = 30 * time.Second
 	// forgetAfter removes members that have been silent for long and are not listed.
 	forgetAfter = time.Minute
 )
@@ -42,6 +45,8 @@
 	attemptedAt time.Time
 	// relayedAt is when members of other regions were last passed on to the peer.
 	relayedAt time.Time
+	// teamsAt is when figures per team of other members were last passed on to the peer.
+	teamsAt time.Time
 }
 
 // Tracker is the membership view. Self has to be set; other zero values mean the defaults.
@@ -298,15 +303,32 @@
 	if relay {
 		peer.relayedAt = now
 	}
+	teams := now.Sub(peer.teamsAt) >= teamsInterval
+	if teams {
+		peer.teamsAt = now
+	}
 	for _, other := range tracker.peers {
 		local := other.Member.GetRegion() == own
 		if other != peer && tracker.alive(now, other) && local == foreign {
-			view.Members = append(view.Members, other.Member)
+			view.Members = append(view.Members, passedOn(other.Member, teams))
 		}
 	}
 	return view
 }
 
+// passedOn returns a member's statement with or without its figures per team. The receiver keeps those
+// that it has.
+func passedOn(member *peerpb.Member, teams bool) *peerpb.Member {
+	if teams || len(member.GetShards()) == 0 {
+		return member
+	}
+	copied := proto.CloneOf(member)
+	for _, shard := range copied.GetShards() {
+		shard.Teams = nil
+	}
+	return copied
+}
+
 // Answer returns what to tell the peer that began an exchange.
 func (tracker *Tracker) Answer(now time.Time, id string) *peerpb.View {
 	delegate := tracker.delegate(now, tracker.Self.GetRegion()) == tracker.Self.GetId()
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -25,6 +25,18 @@
 	cut      map[[2]string]bool
 	list     []lister.Instance
 	messages map[[2]string]int
+	// teams counts figures per team that were sent.
+	teams int
+}
+
+func teamsOf(view *peerpb.View) int {
+	count := 0
+	for _, member := range view.GetMembers() {
+		for _, shard := range member.GetShards() {
+			count += len(shard.GetTeams())
+		}
+	}
+	return count
 }
 
 func newNetwork(regions []string, perRegion int) *network {
@@ -75,7 +87,9 @@
 			}
 			to := network.trackers[exchange.ID]
 			to.Merge(now, exchange.View)
-			from.Merge(now, to.Answer(now, id))
+			answer := to.Answer(now, id)
+			from.Merge(now, answer)
+			network.teams += teamsOf(exchange.View) + teamsOf(answer)
 		}
 	}
 }
@@ -133,6 +147,45 @@
 	}
 }
 
+// TestTeams guards against figures per team that other regions never learn, and against ones that are
+// passed on with every exchange.
+func TestTeams(t *testing.T) {
+	network := newNetwork([]string{"a", "b"}, 4)
+	owner := network.trackers["a-2"]
+	now := epoch
+	for second := range 120 {
+		now = now.Add(time.Second)
+		owner.Self.Shards = []*peerpb.OwnedShard{
+			{
+				Shard: "a-shard",
+			},
+		}
+		// The owner itself leaves the figures out in most statements.
+		if second%4 == 0 {
+			owner.Self.Shards[0].Teams = []*peerpb.TeamUse{
+				{
+					Team: "yard",
+				},
+			}
+		}
+		network.step(now)
+	}
+	for id, tracker := range network.trackers {
+		if id == "a-2" {
+			continue
+		}
+		peer, ok := tracker.Peer("a-2")
+		if !ok || len(peer.Member.GetShards()) != 1 || len(peer.Member.GetShards()[0].GetTeams()) != 1 {
+			t.Errorf("%s knows %v", id, peer.Member)
+		}
+	}
+	// Three peers hear the owner itself every 4 s, and the others pass it on every 30 s.
+	t.Logf("%d figures per team sent in 120 s", network.teams)
+	if limit := 3*120/4 + 4*2*8; network.teams > limit {
+		t.Errorf("%d figures per team sent, want at most %d", network.teams, limit)
+	}
+}
+
 // TestStaleStatement guards against an old statement that arrives late and replaces a newer one.
 func TestStaleStatement(t *testing.T) {
 	self := &tracker.Tracker{
