--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -125,14 +125,10 @@
 
 func (term *term) publish() {
 	term.loadedAt = term.driver.options.Now()
-	load := term.machine.Load()
 	term.driver.load.Store(&Load{
-		Shard:    term.driver.options.Shard,
-		Epoch:    term.journal.Epoch(),
-		Capacity: load.Capacity,
-		Free:     load.Free,
-		Waiting:  load.Waiting,
-		Teams:    load.Teams,
+		Shard: term.driver.options.Shard,
+		Epoch: term.journal.Epoch(),
+		Load:  term.machine.Load(),
 	})
 }
 
@@ -164,6 +160,14 @@
 
 // take starts a call of the API.
 func (term *term) take(ctx context.Context, call call) {
+	// The process may have been paused since the last tick.
+	term.checkAuthority(ctx)
+	if term.over != "" {
+		call.reply <- answer{
+			problem: term.driver.notOwned(),
+		}
+		return
+	}
 	if call.query != nil {
 		call.reply <- call.query(term.machine)
 		return
