--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -115,6 +115,11 @@
 	link.add("latency", "downstream", fmt.Sprintf(`{"latency": %d, "jitter": %d}`, milliseconds/2, milliseconds/2))
 }
 
+// slow delays everything that the caller is sent.
+func (link *link) slow(milliseconds int) {
+	link.add("latency", "downstream", fmt.Sprintf(`{"latency": %d}`, milliseconds))
+}
+
 // heal removes all faults.
 func (link *link) heal() {
 	link.proxy.Toxics.ResetToxics()
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -76,6 +76,7 @@
 	}
 	entry.forwarder.SetPeers(members, peers)
 	entry.shards.limiter.SetLimit(manager.WriteShare(entry.id, entry.settings.Limits.StoreWrites, live))
+	entry.shards.setElsewhere()
 	entry.updateReady(len(live))
 	entry.observe()
 }
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -37,6 +37,10 @@
 	fates   map[descriptor.JobID]string
 	request signaler.Request
 	nonce   uint64
+	// honest work uses what it declares.
+	honest bool
+	// observe is told of every action, if it is set.
+	observe func(signaler.Action)
 }
 
 type owner struct {
@@ -160,6 +164,9 @@
 		return
 	}
 	for _, action := range owner.Step(world.now, event) {
+		if world.observe != nil {
+			world.observe(action)
+		}
 		switch action := action.(type) {
 		case signaler.Append:
 			owner.queue = append(owner.queue, action)
@@ -309,6 +316,10 @@
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
+			Usage: descriptor.Usage{
+				Resources: world.use(id),
+				At:        world.now,
+			},
 		})
 	}
 	for _, id := range sortedKeys(machine.finished) {
@@ -317,6 +328,15 @@
 	return reply, true
 }
 
+// use is far more memory than declared for every other task, so that two of them fill a worker.
+func (world *world) use(id descriptor.RunID) descriptor.Resources {
+	used := world.jobs[id.Job].Task
+	if !world.honest && (len(world.jobs)+id.Task)%2 == 0 {
+		used.MemoryBytes = capacity.MemoryBytes / 8 * 5
+	}
+	return used
+}
+
 func (world *world) carryOut(machine *machine, request executor.SyncRequest) {
 	if expires := world.now.Add(request.Lease); request.Lease > 0 && expires.After(machine.expires) {
 		machine.expires = expires
