--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/trace"
-	"golang.org/x/time/rate"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/exchanger"
@@ -15,6 +14,7 @@
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/request/forwarder"
+	"pomelomoor/internal/shard/manager"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -75,20 +75,19 @@
 		})
 	}
 	entry.forwarder.SetPeers(members, peers)
-	entry.shards.limiter.SetLimit(rate.Limit(float64(entry.settings.Limits.StoreWrites) / float64(len(live))))
+	entry.shards.limiter.SetLimit(manager.WriteShare(entry.id, entry.settings.Limits.StoreWrites, live))
 	entry.shards.setElsewhere()
 	entry.updateReady(len(live))
 	entry.observe()
 }
 
 // updateReady makes the instance ready once it knows the configuration in force: from the store, or
-// from peers while the store is down. A cell without any configuration is ready when the store says so.
+// from peers while the store is down. A store lease alone does not tell it.
 func (entry *Entry) updateReady(live int) {
 	if entry.ready.Load() || entry.draining.Load() {
 		return
 	}
-	known := entry.applier.Current().Revision > 0
-	if known || entry.holder.Reachable() {
+	if entry.applier.Known() {
 		entry.ready.Store(true)
 		logger.Log(context.Background(), entry.log, logger.EventReady, slog.Int("Members", live))
 	}
