shard: move the state of the relief out of the dispatcher

Change: the throttler keeps the workers to look at and marks the runs; the dispatcher notes and stops. Whether a run is movable is told by the arbiter. No change of behaviour, but that the trail has one code, Relieved, for all three measures.

The tests of internal/shard pass.

--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -149,6 +149,15 @@
 	return &run.Job.Tasks[run.ID.Task]
 }
 
+// Movable reports whether the run can be checkpointed to go on later, behind other work. A job is queued
+// as a whole, so its other waiting tasks would be put behind together with this one.
+func (run *Run) Movable() bool {
+	job := run.Job
+	return !run.Stop && !run.Checkpoint && !job.Cancelled && !job.Gang() &&
+		job.Description().Idempotent && job.Description().Checkpointable &&
+		len(job.InState(TaskWaiting)) == 0
+}
+
 // Fate returns the final fate of the job, and false while some task can still change.
 func (job *Job) Fate(now time.Time) (descriptor.Fate, bool) {
 	var count [TaskNotRun + 1]int
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/recoverer"
 	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/shard/throttler"
 	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -37,16 +38,13 @@
 
 	recoverer recoverer.Recoverer
 	allocator allocator.Allocator
+	throttler throttler.Throttler
 	jobs      map[descriptor.JobID]*arbiter.Job
 	workers   map[descriptor.WorkerID]*watcher.Worker
 	listed    bool
 
 	// crowd is set when something changed that may let waiting work start.
 	crowd bool
-	// pressed lists workers whose use was reported and not looked at yet.
-	pressed []*watcher.Worker
-	// throttled lists runs that were told to shrink.
-	throttled []*arbiter.Run
 	// woken lists workers that may be due for a message.
 	woken []*watcher.Worker
 	swept time.Time
--- a/internal/shard/dispatcher/pressure.go
+++ b/internal/shard/dispatcher/pressure.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"pomelomoor/internal/shard/arbiter"
@@ -14,57 +13,19 @@
 func (dispatcher *Dispatcher) observe(worker *watcher.Worker, run *arbiter.Run, usage descriptor.Usage) {
 	run.Usage = usage
 	dispatcher.allocator.Observe(run.Job.Work, run.ID, usage)
-	dispatcher.press(worker)
-}
-
-func (dispatcher *Dispatcher) press(worker *watcher.Worker) {
-	if count := len(dispatcher.pressed); count == 0 || dispatcher.pressed[count-1] != worker {
-		dispatcher.pressed = append(dispatcher.pressed, worker)
-	}
-}
-
-// pressThrottled has the workers looked at whose throttled runs may not have shrunk.
-func (dispatcher *Dispatcher) pressThrottled() {
-	dispatcher.throttled = slices.DeleteFunc(dispatcher.throttled, func(run *arbiter.Run) bool {
-		return run.Ended || run.Stop || run.Checkpoint
-	})
-	for _, run := range dispatcher.throttled {
-		if throttler.Watched(run) {
-			dispatcher.press(dispatcher.worker(run.Worker))
-		}
-	}
+	dispatcher.throttler.Reported(worker)
 }
 
 // relieve keeps workers from running out of memory, as far as reports came in since the last call.
 func (dispatcher *Dispatcher) relieve(now time.Time) {
-	pressed := dispatcher.pressed
-	dispatcher.pressed = nil
-	if dispatcher.authority != signaler.AuthorityAct {
-		return
-	}
-	for _, worker := range pressed {
-		for _, relief := range throttler.Choose(now, worker.Description.Capacity, worker.SortedRuns()) {
-			dispatcher.curb(now, worker, relief)
+	for _, relief := range dispatcher.throttler.Relieve(now, dispatcher.authority == signaler.AuthorityAct) {
+		run := relief.Run
+		dispatcher.note(now, run.Job, "Relieved", "task %d is %s: it uses %d bytes more than declared while %s is nearly full",
+			run.ID.Task, relief.Measure, throttler.Excess(run), run.Worker)
+		if relief.Measure == throttler.Stop {
+			dispatcher.stop(now, run, "used more memory than declared on a worker that was nearly full")
+			continue
 		}
-	}
-}
-
-func (dispatcher *Dispatcher) curb(now time.Time, worker *watcher.Worker, relief throttler.Relief) {
-	run := relief.Run
-	job := run.Job
-	excess := throttler.Excess(run)
-	switch relief.Measure {
-	case throttler.Throttle:
-		run.Throttled = now
-		dispatcher.throttled = append(dispatcher.throttled, run)
-		dispatcher.note(now, job, "Throttled", "task %d uses %d bytes more than declared while %s is nearly full", run.ID.Task, excess, worker.ID)
-		dispatcher.wake(worker)
-	case throttler.Checkpoint:
-		run.Checkpoint = true
-		dispatcher.note(now, job, "Relieved", "task %d is checkpointed: it uses %d bytes more than declared while %s is nearly full", run.ID.Task, excess, worker.ID)
-		dispatcher.wake(worker)
-	case throttler.Stop:
-		dispatcher.note(now, job, "Relieved", "task %d is stopped: it uses %d bytes more than declared while %s is nearly full", run.ID.Task, excess, worker.ID)
-		dispatcher.stop(now, run, "used more memory than declared on a worker that was nearly full")
+		dispatcher.wake(relief.Worker)
 	}
 }
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -65,7 +65,7 @@
 	if dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
-	dispatcher.pressThrottled()
+	dispatcher.throttler.Review()
 	var stragglers []allocator.Straggler
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
 		job := dispatcher.jobs[id]
@@ -135,7 +135,7 @@
 			run.Straggling = true
 			dispatcher.note(now, job, signaler.CodeStraggling, "task %d runs far longer than expected, since %s", i, run.Since.Format(time.RFC3339))
 		}
-		if run.Straggling && movableRun(run) {
+		if run.Straggling && run.Movable() {
 			movable = append(movable, allocator.Straggler{
 				Work:    job.Work,
 				Run:     run.ID,
@@ -146,15 +146,6 @@
 	return movable
 }
 
-// movableRun reports whether a straggler can go on elsewhere later. A job is queued as a whole, so its
-// other waiting tasks would be put behind with the straggler.
-func movableRun(run *arbiter.Run) bool {
-	job := run.Job
-	return !run.Stop && !run.Checkpoint && !job.Cancelled && !job.Gang() &&
-		job.Description().Idempotent && job.Description().Checkpointable &&
-		len(job.InState(arbiter.TaskWaiting)) == 0
-}
-
 // displace checkpoints a straggler. Its task waits behind shorter work afterwards.
 func (dispatcher *Dispatcher) displace(now time.Time, id descriptor.RunID, by descriptor.JobID) {
 	job := dispatcher.jobs[id.Job]
--- a/internal/shard/throttler/throttler.go
+++ b/internal/shard/throttler/throttler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelomoor/internal/shard/arbiter"
+	"pomelomoor/internal/shard/watcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -22,6 +23,7 @@
 
 // Relief is a run and what is to be done to it.
 type Relief struct {
+	Worker  *watcher.Worker
 	Run     *arbiter.Run
 	Measure Measure
 }
@@ -43,8 +45,6 @@
 // Choose returns the measures that bring the reported use of a worker's runs below the limit. No run
 // within its declared size is chosen. A run is throttled first, and only one that has not shrunk
 // after that is ended.
-//
-// The result is to be asked for again while a run is Watched, also without a new report.
 func Choose(now time.Time, capacity descriptor.Resources, runs []*arbiter.Run) []Relief {
 	limit := capacity.MemoryBytes / 100 * fullPercent
 	var used int64
@@ -77,11 +77,6 @@
 	return chosen
 }
 
-// Watched reports whether a throttled run was last seen beyond its declared size.
-func Watched(run *arbiter.Run) bool {
-	return !run.Throttled.IsZero() && !run.Stop && !run.Checkpoint && Excess(run) > 0
-}
-
 // expected is the use that follows from the reported use and the measures already taken.
 func expected(now time.Time, run *arbiter.Run) int64 {
 	switch {
--- a/internal/shard/throttler/throttler_test.go
+++ b/internal/shard/throttler/throttler_test.go
@@ -66,19 +66,19 @@
 	}{
 		{"below the limit", []*arbiter.Run{run("a", 95, nil)}, nil},
 		{"within the declared sizes", []*arbiter.Run{run("a", 30, nil), run("b", 30, once), run("c", 30, nil), run("d", 30, nil)}, nil},
-		{"largest excess", []*arbiter.Run{run("a", 40, nil), run("b", 60, nil)}, []string{"b 0"}},
-		{"only what exceeds", []*arbiter.Run{run("a", 30, once), run("b", 30, nil), run("c", 37, nil)}, []string{"c 0"}},
-		{"repeatable first", []*arbiter.Run{run("a", 59, once), run("b", 41, nil)}, []string{"b 0"}},
-		{"once-only work last", []*arbiter.Run{run("a", 65, once), run("b", 35, nil)}, []string{"b 0"}},
-		{"both if one is not enough", []*arbiter.Run{run("a", 70, once), run("b", 35, nil)}, []string{"b 0", "a 0"}},
+		{"largest excess", []*arbiter.Run{run("a", 40, nil), run("b", 60, nil)}, []string{"b throttled"}},
+		{"only what exceeds", []*arbiter.Run{run("a", 30, once), run("b", 30, nil), run("c", 37, nil)}, []string{"c throttled"}},
+		{"repeatable first", []*arbiter.Run{run("a", 59, once), run("b", 41, nil)}, []string{"b throttled"}},
+		{"once-only work last", []*arbiter.Run{run("a", 65, once), run("b", 35, nil)}, []string{"b throttled"}},
+		{"both if one is not enough", []*arbiter.Run{run("a", 70, once), run("b", 35, nil)}, []string{"b throttled", "a throttled"}},
 		{"less urgent first", []*arbiter.Run{run("a", 60, func(run *arbiter.Run, _ *descriptor.Job) {
 			run.Job.Work.Treatment.Urgency = descriptor.UrgencyHigh
-		}), run("b", 40, nil)}, []string{"b 0"}},
-		{"still too large when throttled", []*arbiter.Run{run("a", 99, throttled)}, []string{"a 2"}},
+		}), run("b", 40, nil)}, []string{"b throttled"}},
+		{"still too large when throttled", []*arbiter.Run{run("a", 99, throttled)}, []string{"a stopped"}},
 		{"checkpoint if possible", []*arbiter.Run{run("a", 99, func(run *arbiter.Run, job *descriptor.Job) {
 			throttled(run, job)
 			job.Checkpointable = true
-		})}, []string{"a 1"}},
+		})}, []string{"a checkpointed"}},
 		{"throttled a moment ago", []*arbiter.Run{run("a", 99, func(run *arbiter.Run, _ *descriptor.Job) {
 			run.Throttled = now.Add(-time.Second)
 		})}, nil},
@@ -92,7 +92,7 @@
 			for _, relief := range throttler.Choose(now, descriptor.Resources{
 				MemoryBytes: 100,
 			}, test.runs) {
-				got = append(got, fmt.Sprintf("%s %d", relief.Run.ID.Job, relief.Measure))
+				got = append(got, fmt.Sprintf("%s %s", relief.Run.ID.Job, relief.Measure))
 			}
 			if !slices.Equal(got, test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
