--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -405,3 +407,28 @@
 		stop()
 	}
 }
+
+// Guards against a straggler that operators are not told of, and against other decisions about jobs
+// that fill the log.
+func TestStragglerIsLogged(t *testing.T) {
+	var log strings.Builder
+	term := &term{
+		driver: &Driver{
+			options: Options{
+				Shard:  "hof-0",
+				Logger: slog.New(slog.NewTextHandler(&log, nil)),
+			},
+		},
+	}
+	for _, code := range []string{"Placed", signaler.CodeStraggling} {
+		term.perform(t.Context(), signaler.Explain{
+			Job: "hof-0.1",
+			Decision: descriptor.Decision{
+				Code: code,
+			},
+		})
+	}
+	if got := log.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, "Name=JobStraggling") || !strings.Contains(got, "Job=hof-0.1") {
+		t.Errorf("the log holds %q, want one event JobStraggling of the job", got)
+	}
+}
