Bound the age of messages to workers

Cause: a worker accepted a message whose ticket was as old as the task lease of 15 s. A renewal of the last owner that was delayed, for instance in the socket buffer of a paused worker, could extend the lease after the next owner gave the runs up, 19.5 s after the last possible renewal. The task then ran in two places (invariant I2).

Change: SyncRequest.MaxAge is the age from which a worker treats the ticket as too old; the owner sends 4 s. ReassignAfter becomes 15 s task lease + 4 s evidence + 4 s message age + 0.5 s margin = 23.5 s. In the simulated world, messages are delayed by up to 20 s, and a partition hides a worker from the next owner while the last owner's messages to it come late.

The 100 cases of a plain run seldom reach the fault; TestDelayedRenewal is the test that guards against it in every run.

Conclusion: runs of an unreachable worker start again 4 s later than before, in return for the bound.

--- a/internal/platform/executor/executor.go
+++ b/internal/platform/executor/executor.go
@@ -35,10 +35,13 @@
 	// Epoch is the sender's ownership epoch. The worker refuses a lower one than it has seen for the shard.
 	Epoch uint64
 	// Ticket is that of the shard's latest reply from the worker. When it is not the latest any more, or is
-	// older than a Lease above 0, the worker carries out nothing, so that a message which arrives late
-	// starts no run.
+	// too old, the worker carries out nothing, so that a message which arrives late starts no run and
+	// renews no lease.
 	// Empty means that the order is not checked.
 	Ticket string `json:",omitempty"`
+	// MaxAge is the age from which the ticket is too old; with 0 that is a Lease above 0. The age bounds
+	// the time that the message was on its way, because its sender had the ticket before.
+	MaxAge time.Duration `json:",omitempty"`
 	// Changes asks for what changed since the reply with the ticket, instead of the whole report. Reports of
 	// unchanged runs are nearly all of the traffic between an owner and its workers.
 	Changes bool `json:",omitempty"`
--- a/internal/shard/controller/controller_test.go
+++ b/internal/shard/controller/controller_test.go
@@ -47,13 +47,17 @@
 	}
 }
 
+func drawDelay(t *rapid.T) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(maxDelay/time.Second)).Draw(t, "delay")) * time.Second
+}
+
 // happen lets one random thing happen.
 func (world *world) happen(t *rapid.T) {
 	owner := world.owner()
 	machine := world.workers[rapid.IntRange(0, len(world.workers)-1).Draw(t, "worker")]
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "write", "write", "write", "deliver", "deliver", "deliver", "deliver", "fault",
-		"tick", "tick", "tick", "wait", "finish", "finish", "fail", "restart", "cut", "cut", "unlist", "takeover",
+		"tick", "tick", "tick", "wait", "finish", "finish", "fail", "restart", "cut", "cut", "unlist", "takeover", "partition",
 		"cancel", "refuse", "late", "old", "old",
 	}).Draw(t, "event") {
 	case "submit":
@@ -63,16 +67,16 @@
 	case "write":
 		world.write(rapid.IntRange(1, 5).Draw(t, "count"))
 	case "deliver":
-		world.deliver(owner, 0)
+		world.deliver(owner, 0, 0)
 	case "fault":
-		world.deliver(owner, rapid.IntRange(1, 4).Draw(t, "fault"))
+		world.deliver(owner, rapid.IntRange(1, 4).Draw(t, "fault"), drawDelay(t))
 	case "tick":
 		world.advance(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
 	case "wait":
 		for range rapid.IntRange(1, 12).Draw(t, "seconds") {
 			world.advance(2 * time.Second)
 			for range len(owner.network) {
-				world.deliver(owner, 0)
+				world.deliver(owner, 0, 0)
 			}
 		}
 	case "finish", "fail":
@@ -90,6 +94,8 @@
 		world.step(owner, world.list())
 	case "takeover":
 		world.takeOver()
+	case "partition":
+		world.partition(t, machine)
 	case "cancel":
 		if len(world.accepted) > 0 {
 			world.request++
@@ -101,18 +107,37 @@
 	case "refuse":
 		world.refuse()
 	case "late":
-		world.arrive()
+		world.arrive(world.now.Add(maxDelay))
 	case "old":
 		if len(world.owners) > 1 {
 			old := world.owners[len(world.owners)-2]
 			world.step(old, signaler.Tick{})
-			world.deliver(old, 0)
+			world.deliver(old, rapid.SampledFrom([]int{0, 0, 4}).Draw(t, "fault"), drawDelay(t))
 		}
 	}
 }
 
+// partition hides a worker from the next owner, while the last one's messages to it come late.
+func (world *world) partition(t *rapid.T, machine *machine) {
+	old := world.owner()
+	world.advance(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
+	for range len(old.network) {
+		fault := 0
+		if old.network[0].Worker == machine.id {
+			fault = 4
+		}
+		world.deliver(old, fault, drawDelay(t))
+	}
+	world.takeOver()
+	machine.hidden = world.owner()
+	for range rapid.IntRange(0, 30).Draw(t, "rounds") {
+		world.round(world.owner())
+	}
+}
+
 func (world *world) advance(by time.Duration) {
 	world.now = world.now.Add(by)
+	world.arrive(world.now)
 	for _, machine := range world.workers {
 		world.lapse(machine)
 	}
@@ -122,9 +147,9 @@
 // settle ends all faults and lets all runs finish.
 func (world *world) settle() {
 	for _, machine := range world.workers {
-		machine.cut, machine.unlisted = false, false
+		machine.cut, machine.unlisted, machine.hidden = false, false, nil
 	}
-	world.arrive()
+	world.arrive(world.now.Add(maxDelay))
 	owner := world.owner()
 	world.step(owner, world.list())
 	for round := range 400 {
@@ -134,7 +159,7 @@
 		world.advance(time.Second)
 		for len(owner.queue)+len(owner.network) > 0 {
 			world.write(len(owner.queue))
-			world.deliver(owner, 0)
+			world.deliver(owner, 0, 0)
 		}
 		for _, machine := range world.workers {
 			for _, id := range sortedKeys(machine.running) {
@@ -220,7 +245,7 @@
 		world.step(owner, signaler.Tick{})
 		world.write(len(world.owner().queue))
 		for range len(owner.network) {
-			world.deliver(owner, 0)
+			world.deliver(owner, 0, 0)
 		}
 	}
 }
@@ -248,6 +273,36 @@
 	}
 }
 
+// Guards against a renewal of the last owner that reaches its worker late, extends the lease beyond the
+// next owner's wait and leaves the task running in two places.
+func TestDelayedRenewal(t *testing.T) {
+	for delay := time.Second; delay <= maxDelay; delay += time.Second {
+		world := newWorld(t, 3)
+		machine := world.place()
+		old := world.owner()
+		for len(old.network) == 0 {
+			world.advance(time.Second)
+		}
+		for len(old.network) > 0 {
+			fault := 0
+			if old.network[0].Worker == machine.id {
+				fault = 4
+			}
+			world.deliver(old, fault, delay)
+		}
+		world.takeOver()
+		machine.hidden = world.owner()
+		for range 60 {
+			world.round(world.owner())
+		}
+		for name, starts := range world.starts {
+			if starts != 2 {
+				t.Errorf("delay %v: task %s was started %d times, want 2", delay, name, starts)
+			}
+		}
+	}
+}
+
 // Guards against renewing the lease of a worker that hears its owner but is not heard: its run would
 // neither end nor start elsewhere.
 func TestLostReplies(t *testing.T) {
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -13,7 +14,6 @@
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/recordpb"
-	"pomelomoor/internal/shard/recoverer"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -66,9 +66,13 @@
 type message struct {
 	worker *machine
 	sync   signaler.Sync
-	until  time.Time
+	at     time.Time
 }
 
+// maxDelay bounds the time that a message waits before its worker handles it, as in the socket buffer
+// of a paused worker. It is above the lease of tasks.
+const maxDelay = 20 * time.Second
+
 var (
 	capacity = descriptor.Resources{
 		MilliCPU:    4000,
@@ -209,8 +213,8 @@
 }
 
 // deliver settles the oldest message of an owner. Fault: 0 none, 1 lost on the way there, 2 lost on the
-// way back, 3 not sent at all, 4 arrives late.
-func (world *world) deliver(owner *owner, fault int) {
+// way back, 3 not sent at all, 4 arrives after the delay.
+func (world *world) deliver(owner *owner, fault int, delay time.Duration) {
 	if len(owner.network) == 0 {
 		return
 	}
@@ -249,20 +253,23 @@
 		world.late = append(world.late, message{
 			worker: machine,
 			sync:   sync,
-			until:  sync.Sent.Add(recoverer.QuorumWindow),
+			at:     world.now.Add(delay),
 		})
 	}
 	world.step(owner, lost)
 }
 
-// arrive lets late messages reach their workers.
-func (world *world) arrive() {
-	for _, message := range world.late {
-		if !world.now.After(message.until) {
-			world.handle(message.worker, message.sync.Request)
+// arrive lets the late messages that are due by a time reach their workers.
+func (world *world) arrive(due time.Time) {
+	late := world.late
+	world.late = nil
+	for _, message := range late {
+		if message.at.After(due) {
+			world.late = append(world.late, message)
+			continue
 		}
+		world.handle(message.worker, message.sync.Request)
 	}
-	world.late = nil
 }
 
 // handle is what a worker does with a message.
@@ -275,8 +282,9 @@
 	ticket := func() string {
 		return fmt.Sprintf("%d-%d", machine.incarnation, machine.ticket)
 	}
+	limit := cmp.Or(request.MaxAge, request.Lease)
 	stale := request.Ticket != "" &&
-		(request.Ticket != ticket() || request.Lease > 0 && world.now.Sub(machine.ticketAt) > request.Lease)
+		(request.Ticket != ticket() || limit > 0 && world.now.Sub(machine.ticketAt) > limit)
 	if !stale {
 		world.carryOut(machine, request)
 	}
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -116,6 +116,7 @@
 		Shard:  dispatcher.shard,
 		Epoch:  dispatcher.epoch,
 		Ticket: worker.Ticket,
+		MaxAge: recoverer.MessageAge,
 	}
 	// The first message only asks: the worker's state has to be known before its lease is renewed.
 	if worker.Reported && !worker.Suspect && dispatcher.mayRenew(now) {
--- a/internal/shard/recoverer/recoverer.go
+++ b/internal/shard/recoverer/recoverer.go
@@ -13,10 +13,14 @@
 	TaskLease = 15 * time.Second
 	// QuorumWindow is how long an answer of a worker shows that it has not accepted a newer epoch.
 	QuorumWindow = 4 * time.Second
-	// Margin covers messages on their way and differences between clocks.
+	// MessageAge is the age of its ticket from which a worker does not carry out a message. Without this
+	// bound, a renewal that waits in the socket buffer of a paused worker extends the lease too late.
+	MessageAge = 4 * time.Second
+	// Margin covers differences between clocks.
 	Margin = 500 * time.Millisecond
-	// ReassignAfter is the time from the last possible renewal to the provable end of a run.
-	ReassignAfter = TaskLease + QuorumWindow + Margin
+	// ReassignAfter is the time from the contact that bounds the last renewal to the provable end of a run:
+	// a renewal may be sent within QuorumWindow and arrive MessageAge later.
+	ReassignAfter = TaskLease + QuorumWindow + MessageAge + Margin
 )
 
 // Recoverer tracks the contacts with the workers of a shard in one term. The zero value knows no
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -42,7 +42,8 @@
 	if request.Ticket == "" {
 		return false
 	}
-	old := request.Lease > 0 && now.Sub(shard.ticketAt) > request.Lease
+	limit := cmp.Or(request.MaxAge, request.Lease)
+	old := limit > 0 && now.Sub(shard.ticketAt) > limit
 	return old || request.Ticket != worker.ticket(shard)
 }
 
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -159,6 +159,13 @@
 		if reply = fixture.sync(late); !reply.Stale || len(reply.Running) != 0 {
 			t.Errorf("held up: %+v", reply)
 		}
+		late.MaxAge = 4 * time.Second
+		<-time.After(late.MaxAge + time.Second)
+		late.Ticket = reply.Ticket
+		if reply = fixture.sync(late); !reply.Stale || len(reply.Running) != 0 {
+			t.Errorf("held up beyond its own limit: %+v", reply)
+		}
+		<-time.After(late.MaxAge)
 		late.Ticket = reply.Ticket
 		if reply = fixture.sync(late); reply.Stale || len(reply.Running) != 1 {
 			t.Errorf("in order: %+v", reply)
