Place attempts after a failure on other workers

Cause: a worker that fails every task is nearly always empty. A task that failed there was placed there again whenever the other workers seemed full, three times, and its job failed.

Change: a task waits for other workers, up to a minute, rather than start where it failed, as long as others that are open, match and are large enough exist. The same holds for the other tasks of a job on a worker that failed one of them and whose latest three runs all failed. Work that must not be repeated avoids workers whose latest runs all failed, as a preference, unless that is more than half of the workers.

The number of starts is not bounded by this change: each of the 60 jobs may be tried there once until the detector has its evidence.

Conclusion: a job no longer uses up its attempts on one broken worker.

--- a/internal/placement/detector/detector.go
+++ b/internal/placement/detector/detector.go
@@ -135,6 +135,21 @@
 	return InUse
 }
 
+// recordLength is the number of latest runs that make a worker's record.
+const recordLength = 3
+
+// Failing reports whether the latest runs on a worker all failed.
+func (detector *Detector) Failing(id descriptor.WorkerID) bool {
+	known, ok := detector.workers[id]
+	if !ok || len(known.outcomes) == 0 {
+		return false
+	}
+	latest := known.outcomes[max(0, len(known.outcomes)-recordLength):]
+	return !slices.ContainsFunc(latest, func(outcome outcome) bool {
+		return !outcome.failed
+	})
+}
+
 // Report records the end of a run. Runs that were stopped or that lost their worker are not to be reported.
 func (detector *Detector) Report(now time.Time, id descriptor.WorkerID, job descriptor.JobID, failed bool) []Change {
 	detector.Add(id)
--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -36,6 +36,9 @@
 	Avoid []descriptor.WorkerID
 
 	where placer.Where
+	// failures holds those of each task; failedAt is the time of the latest one.
+	failures map[int]failure
+	failedAt time.Time
 }
 
 // NewWork returns the work of a job. It fails if the job's selector is malformed.
@@ -89,6 +92,8 @@
 	teams map[string]struct{}
 	// preempted tells when a job last had others checkpointed.
 	preempted map[descriptor.JobID]time.Time
+	// failing lists the workers whose latest runs all failed.
+	failing map[descriptor.WorkerID]struct{}
 }
 
 func (allocator *Allocator) init() {
@@ -101,6 +106,7 @@
 	allocator.crowded = map[descriptor.WorkerID]int{}
 	allocator.preempted = map[descriptor.JobID]time.Time{}
 	allocator.teams = map[string]struct{}{}
+	allocator.failing = map[descriptor.WorkerID]struct{}{}
 }
 
 // SetWorker adds a worker or updates its description.
@@ -161,6 +167,7 @@
 func (allocator *Allocator) RemoveWorker(id descriptor.WorkerID) {
 	allocator.init()
 	delete(allocator.workers, id)
+	delete(allocator.failing, id)
 	allocator.placer.RemoveWorker(id)
 	allocator.apply(allocator.detector.Remove(id))
 }
@@ -176,6 +183,7 @@
 func (allocator *Allocator) Report(now time.Time, work *Work, worker descriptor.WorkerID, peak descriptor.Resources, length time.Duration, failed bool) {
 	allocator.init()
 	allocator.apply(allocator.detector.Report(now, worker, work.ID, failed))
+	allocator.note(worker, failed)
 	allocator.estimator.Finish(estimator.ClassOf(work.Job), peak, length, !failed, now)
 }
 
--- a/internal/shard/allocator/pass.go
+++ b/internal/shard/allocator/pass.go
@@ -86,14 +86,17 @@
 	}
 }
 
-func (allocator *Allocator) request(now time.Time, work *Work) placer.Request {
+// anyTask stands for all tasks of a job.
+const anyTask = -1
+
+func (allocator *Allocator) request(now time.Time, work *Work, task int) placer.Request {
 	reservation, ok := allocator.orderer.Reservation(now)
 	return placer.Request{
 		Job:          work.ID,
 		Need:         work.Job.Task,
 		Where:        work.where,
 		Spread:       work.Treatment.Spread,
-		Avoid:        work.Avoid,
+		Avoid:        allocator.avoid(work, task),
 		End:          allocator.end(work, now),
 		Holder:       ok && reservation.Job == work.ID,
 		TrialAllowed: work.Job.Idempotent && !work.gang(),
@@ -101,7 +104,7 @@
 }
 
 func (allocator *Allocator) start(now time.Time, work *Work, candidate orderer.Candidate, result *Result) error {
-	workers, err := allocator.choose(now, work, len(candidate.Tasks))
+	workers, err := allocator.choose(now, work, candidate.Tasks)
 	if err != nil {
 		return err
 	}
@@ -128,12 +131,14 @@
 	return nil
 }
 
-func (allocator *Allocator) choose(now time.Time, work *Work, count int) ([]descriptor.WorkerID, error) {
-	request := allocator.request(now, work)
+func (allocator *Allocator) choose(now time.Time, work *Work, tasks []int) ([]descriptor.WorkerID, error) {
 	if work.gang() {
-		return allocator.placer.PlaceGang(request, count)
+		return allocator.placer.PlaceGang(allocator.request(now, work, anyTask), len(tasks))
+	}
+	worker, err := allocator.placer.Place(allocator.request(now, work, tasks[0]))
+	if err == nil && allocator.waits(now, work, tasks[0], worker) {
+		err = errors.Wrap(placer.ErrNoRoom, "only where it failed")
 	}
-	worker, err := allocator.placer.Place(request)
 	return []descriptor.WorkerID{worker}, err
 }
 
@@ -148,7 +153,7 @@
 		if !one.work.gang() || reserved && reservation.Job != one.work.ID {
 			continue
 		}
-		hold, ok := allocator.placer.Forecast(allocator.request(now, one.work), one.work.Job.TaskCount(), now)
+		hold, ok := allocator.placer.Forecast(allocator.request(now, one.work, anyTask), one.work.Job.TaskCount(), now)
 		if ok && allocator.orderer.Reserve(now, one.work.ID, hold.Start) {
 			allocator.placer.SetHold(hold)
 			return
@@ -167,7 +172,7 @@
 			continue
 		}
 		probes++
-		_, victims, ok := allocator.placer.ProbeAny(allocator.request(now, one.work), one.work.rank(one.candidate.Borrowed))
+		_, victims, ok := allocator.placer.ProbeAny(allocator.request(now, one.work, one.candidate.Tasks[0]), one.work.rank(one.candidate.Borrowed))
 		if !ok || len(victims) == 0 {
 			continue
 		}
@@ -184,7 +189,7 @@
 // Impossible returns why no known worker could ever hold the work, or nothing.
 func (allocator *Allocator) Impossible(now time.Time, work *Work) string {
 	allocator.init()
-	_, err := allocator.choose(now, work, work.Job.TaskCount())
+	_, err := allocator.choose(now, work, make([]int, work.Job.TaskCount()))
 	if errors.Is(err, placer.ErrNoMatch) || errors.Is(err, placer.ErrTooLarge) {
 		return err.Error()
 	}
--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -107,6 +107,10 @@
 func (dispatcher *Dispatcher) apply(now time.Time, job *arbiter.Job, index int, result executor.RunResult) {
 	job.Apply(index, result)
 	task := &job.Tasks[index]
+	if result.Outcome == executor.OutcomeFailed {
+		job.Avoid(task.Worker)
+		job.Work.Fail(now, index, task.Worker)
+	}
 	switch {
 	case task.State == arbiter.TaskWaiting && job.Gang():
 		dispatcher.restart(now, job)
