--- a/internal/shard/allocator/straggler.go
+++ b/internal/shard/allocator/straggler.go
@@ -68,7 +68,10 @@
 	})
 	for _, one := range found {
 		_, tasks, _ := allocator.orderer.Waiting(one.work.ID)
-		if _, err := allocator.choose(now, one.work, 1); errors.Is(err, placer.ErrNoRoom) {
+		if len(tasks) == 0 {
+			continue
+		}
+		if _, err := allocator.choose(now, one.work, tasks[:1]); errors.Is(err, placer.ErrNoRoom) {
 			one.left = len(tasks)
 		}
 	}
@@ -79,5 +82,5 @@
 	return work.ID != straggler.Work.ID &&
 		work.Treatment.Urgency.Rank() <= straggler.Work.Treatment.Urgency.Rank() &&
 		allocator.estimate(work).RunTime < straggler.Elapsed &&
-		allocator.placer.InPlaceOf(allocator.request(now, work), straggler.Run)
+		allocator.placer.InPlaceOf(allocator.request(now, work, anyTask), straggler.Run)
 }
--- a/internal/shard/controller/script_test.go
+++ b/internal/shard/controller/script_test.go
@@ -91,7 +91,7 @@
 	owner := script.owner()
 	for len(owner.queue)+len(owner.network) > 0 {
 		script.write(len(owner.queue))
-		script.deliver(owner, 0)
+		script.deliver(owner, 0, 0)
 	}
 	for _, machine := range script.workers {
 		if outcome := script.always[machine.id]; outcome != "" {
