Split the hosting of shard drivers out of the assembler

Change: package hoster with its needs as options. No behaviour changed. Tests of entry and local pass.

--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,7 +20,7 @@
 	"pomelomoor/internal/entry/adapter"
 	"pomelomoor/internal/entry/dispatcher"
 	"pomelomoor/internal/entry/handler"
-	"pomelomoor/internal/entry/ranker"
+	"pomelomoor/internal/entry/hoster"
 	"pomelomoor/internal/entry/responder"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/holder"
@@ -38,7 +37,10 @@
 	"pomelomoor/internal/platform/sender"
 	"pomelomoor/internal/platform/storer"
 	"pomelomoor/internal/request/forwarder"
+	"pomelomoor/internal/shard/driver"
 	"pomelomoor/internal/shard/manager"
+	"pomelomoor/internal/shard/signaler"
+	"pomelomoor/internal/work/descriptor"
 )
 
 // ErrStart means that an entry instance could not be built.
@@ -75,7 +77,8 @@
 	dispatcher *dispatcher.Dispatcher
 	forwarder  *forwarder.Forwarder
 	manager    *manager.Manager
-	shards     *shards
+	hoster     *hoster.Hoster
+	limiter    *rate.Limiter
 	supervisor *supervisor.Supervisor
 	listener   net.Listener
 	server     *http.Server
@@ -270,15 +273,9 @@
 		Store:    entry.store,
 		OnChange: entry.configChanged,
 	}
-	entry.shards = &shards{
-		entry:   entry,
-		limiter: rate.NewLimiter(rate.Limit(entry.settings.Limits.StoreWrites), 1),
-		ranker: ranker.Ranker{
-			Region: entry.settings.Region,
-			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		},
-	}
-	list := entry.shardList()
+	entry.limiter = rate.NewLimiter(rate.Limit(entry.settings.Limits.StoreWrites), 1)
+	entry.hoster = hoster.New(entry.hosterOptions())
+	list := entry.hoster.Shards()
 	managed := make([]manager.Shard, 0, len(list))
 	for _, shard := range list {
 		managed = append(managed, manager.Shard{
@@ -292,20 +289,60 @@
 		Shards:    managed,
 		Ownership: entry.holder,
 		View:      view{entry: entry},
-		Start:     entry.shards.start,
+		Start:     entry.hoster.Start,
 	})
 	entry.dispatcher = dispatcher.New(dispatcher.Options{
 		Shards: list,
-		Local:  entry.shards.local,
-		Locate: entry.shards.locate,
+		Local:  entry.hoster.Local,
+		Locate: entry.hoster.Locate,
 		Client: func(location dispatcher.Location) (peerpb.PeerClient, error) {
 			return entry.messenger.Client(location.Address, location.Region)
 		},
-		Rank:     entry.shards.rank,
+		Rank:     entry.hoster.Rank,
 		Stopping: entry.stopping,
 	})
 }
 
+func (entry *Entry) hosterOptions() hoster.Options {
+	return hoster.Options{
+		Self:   entry.id,
+		Region: entry.settings.Region,
+		Sites:  entry.settings.Shards,
+		Driver: driver.Options{
+			Owner:     entry.id,
+			Store:     entry.store,
+			Executor:  entry.executor,
+			Authority: entry.authority,
+			Limiter:   entry.limiter,
+			RingSize:  uint64(entry.settings.Limits.RingSize),
+			Logger:    entry.log,
+			Tracers:   entry.tracer.Provider(),
+			Scope:     entry.meter.Scope,
+		},
+		Config: entry.applier.Current,
+		Known:  entry.applier.Known,
+		Owned: func() map[descriptor.ShardID]manager.Running {
+			return entry.manager.Owned()
+		},
+		View: func() hoster.View {
+			return entry.exchanger
+		},
+		Log: entry.log,
+	}
+}
+
+// authority translates what the store lease allows.
+func (entry *Entry) authority() signaler.Authority {
+	switch entry.holder.Authority() {
+	case holder.AuthorityAct:
+		return signaler.AuthorityAct
+	case holder.AuthorityRenew:
+		return signaler.AuthorityRenew
+	default:
+		return signaler.AuthorityNone
+	}
+}
+
 // view breaks the circle between the manager and the exchanger, which reports the owned shards.
 type view struct {
 	entry *Entry
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -36,7 +36,7 @@
 func (entry *Entry) state(member *peerpb.Member) {
 	member.ConfigRevision = entry.applier.Current().Revision
 	member.StoreReachable = entry.holder.Reachable()
-	member.Shards = entry.shards.statement()
+	member.Shards = entry.hoster.Statement()
 	for service, slots := range entry.forwarder.FreeSlots() {
 		if slots > 0 {
 			member.FreeSlots = append(member.FreeSlots, &peerpb.FreeSlots{
@@ -49,7 +49,7 @@
 
 func (entry *Entry) listChanged(list lister.List) {
 	entry.forwarder.SetInstances(list)
-	entry.shards.setInstances(list)
+	entry.hoster.SetInstances(list)
 }
 
 // viewChanged gives the parts that depend on the members their share.
@@ -75,8 +75,8 @@
 		})
 	}
 	entry.forwarder.SetPeers(members, peers)
-	entry.shards.limiter.SetLimit(manager.WriteShare(entry.id, entry.settings.Limits.StoreWrites, live))
-	entry.shards.setElsewhere()
+	entry.limiter.SetLimit(manager.WriteShare(entry.id, entry.settings.Limits.StoreWrites, live))
+	entry.hoster.SetElsewhere()
 	entry.updateReady(len(live))
 	entry.observe()
 }
@@ -95,7 +95,7 @@
 
 func (entry *Entry) configChanged(compiled *parser.Compiled) {
 	entry.forwarder.SetConfig(compiled)
-	entry.shards.setConfig(compiled)
+	entry.hoster.SetConfig(compiled)
 }
 
 // fetchConfig takes the configuration of a peer that has a newer one.
--- a/internal/entry/assembler/shards.go
+++ b/internal/entry/hoster/hoster.go
@@ -1,37 +1,69 @@
-package assembler
+// Package hoster starts the drivers of the shards that an entry instance owns and finds the owners of
+// the others.
+package hoster
 
 import (
 	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/time/rate"
+	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/dispatcher"
 	"pomelomoor/internal/entry/ranker"
 	"pomelomoor/internal/member/exchanger"
-	"pomelomoor/internal/member/holder"
 	"pomelomoor/internal/member/peerpb"
+	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/driver"
 	"pomelomoor/internal/shard/manager"
-	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/shard/tallier"
 	"pomelomoor/internal/work/descriptor"
 	"pomelomoor/internal/work/selector"
 )
 
-// shards starts the drivers of owned shards and finds those of others.
-type shards struct {
-	entry   *Entry
-	limiter *rate.Limiter
+// ErrNoConfig means that the configuration in force is not known, so that no work may be placed.
+var ErrNoConfig = errors.New("hoster: the configuration is not known yet")
+
+// View is what the hoster asks of the membership. *exchanger.Exchanger implements it.
+type View interface {
+	// Owner returns the live member that claims a shard, or nil.
+	Owner(shard descriptor.ShardID) *peerpb.Member
+	// Heard returns when a peer's newest statement arrived.
+	Heard(id string) time.Time
+}
+
+// Options configures a Hoster. All fields have to be set but Log.
+type Options struct {
+	// Self is the instance's ID, and Region its region.
+	Self   string
+	Region string
+	// Sites lists the cell's shards, the same at all instances.
+	Sites []loader.SiteShards
+	// Driver is the part of the drivers' options that all shards have in common.
+	Driver driver.Options
+	// Config returns the configuration in force, and Known whether one is known.
+	Config func() *parser.Compiled
+	Known  func() bool
+	// Owned returns the shards that this instance owns.
+	Owned func() map[descriptor.ShardID]manager.Running
+	// View returns the membership. It exists only after the hoster.
+	View func() View
+	Log  *slog.Logger
+}
+
+// Hoster starts the drivers of owned shards and finds those of others.
+type Hoster struct {
+	options Options
+	shards  []dispatcher.Shard
 
 	mutex  sync.Mutex
 	ranker ranker.Ranker
@@ -40,19 +72,30 @@
 	use    tallier.Tallier
 }
 
-// shardList returns the cell's shards, which are the same at all instances.
-func (entry *Entry) shardList() []dispatcher.Shard {
-	var list []dispatcher.Shard
-	for _, site := range entry.settings.Shards {
+// New returns a Hoster without shards.
+func New(options Options) *Hoster {
+	hoster := &Hoster{
+		options: options,
+		ranker: ranker.Ranker{
+			Region: options.Region,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+	}
+	for _, site := range options.Sites {
 		for i := range site.Count {
-			list = append(list, dispatcher.Shard{
+			hoster.shards = append(hoster.shards, dispatcher.Shard{
 				ID:     shardID(site.Site, i),
 				Region: site.Region,
 				Site:   site.Site,
 			})
 		}
 	}
-	return list
+	return hoster
+}
+
+// Shards returns the cell's shards, which are the same at all instances.
+func (hoster *Hoster) Shards() []dispatcher.Shard {
+	return hoster.shards
 }
 
 // running is a driver at work. It implements manager.Running.
@@ -73,14 +116,14 @@
 	return running.ended
 }
 
-// start implements manager.Options.Start. A driver that ends, by an error or a panic, gives its shard
+// Start implements manager.Options.Start. A driver that ends, by an error or a panic, gives its shard
 // up; the shard is then taken over again, from the journal.
-func (shards *shards) start(ctx context.Context, shard descriptor.ShardID) (manager.Running, error) {
-	if !shards.entry.applier.Known() {
+func (hoster *Hoster) Start(ctx context.Context, shard descriptor.ShardID) (manager.Running, error) {
+	if !hoster.options.Known() {
 		// Work must not be placed as if there were no policies.
-		return nil, errStarting
+		return nil, ErrNoConfig
 	}
-	made, cleanup, err := shards.build(shard)
+	made, cleanup, err := hoster.build(shard)
 	if err != nil {
 		return nil, err
 	}
@@ -90,70 +133,71 @@
 		cancel: cancel,
 		ended:  make(chan struct{}),
 	}
-	logger.Log(ctx, shards.entry.log, logger.EventShardAcquired, slog.String("Shard", string(shard)))
+	logger.Log(ctx, hoster.options.Log, logger.EventShardAcquired, slog.String("Shard", string(shard)))
 	go func() {
 		defer close(running.ended)
 		defer cleanup()
 		defer cancel()
 		defer func() {
 			if cause := recover(); cause != nil {
-				logger.Log(ctx, shards.entry.log, logger.EventComponentPanicked,
+				logger.Log(ctx, hoster.options.Log, logger.EventComponentPanicked,
 					slog.String("Component", "Shard "+string(shard)), slog.String("Error", fmt.Sprint(cause)))
 			}
 		}()
 		if err := made.Serve(ctx); err != nil && ctx.Err() == nil {
-			logger.Log(ctx, shards.entry.log, logger.EventShardLost, slog.String("Shard", string(shard)), logger.Error(err))
+			logger.Log(ctx, hoster.options.Log, logger.EventShardLost, slog.String("Shard", string(shard)), logger.Error(err))
 			return
 		}
-		logger.Log(ctx, shards.entry.log, logger.EventShardHandedOver, slog.String("Shard", string(shard)))
+		logger.Log(ctx, hoster.options.Log, logger.EventShardHandedOver, slog.String("Shard", string(shard)))
 	}()
 	return running, nil
 }
 
-// setInstances passes the platform's list on to the owned shards.
-func (shards *shards) setInstances(list lister.List) {
-	shards.mutex.Lock()
-	shards.list = list
-	shards.mutex.Unlock()
-	for _, owned := range shards.drivers() {
+// SetInstances passes the platform's list on to the owned shards.
+func (hoster *Hoster) SetInstances(list lister.List) {
+	hoster.mutex.Lock()
+	hoster.list = list
+	hoster.mutex.Unlock()
+	for _, owned := range hoster.drivers() {
 		owned.SetInstances(list)
 	}
 }
 
-func (shards *shards) setConfig(compiled *parser.Compiled) {
-	shards.mutex.Lock()
-	shards.config = compiled
-	shards.mutex.Unlock()
-	for _, owned := range shards.drivers() {
+// SetConfig passes the configuration in force on to the owned shards.
+func (hoster *Hoster) SetConfig(compiled *parser.Compiled) {
+	hoster.mutex.Lock()
+	hoster.config = compiled
+	hoster.mutex.Unlock()
+	for _, owned := range hoster.drivers() {
 		owned.SetConfig(compiled)
 	}
 }
 
-// setElsewhere tells each owned shard what the teams use in the other ones. The peers' statements are
+// SetElsewhere tells each owned shard what the teams use in the other ones. The peers' statements are
 // up to a few seconds old.
-func (shards *shards) setElsewhere() {
-	drivers := shards.drivers()
-	shards.mutex.Lock()
-	defer shards.mutex.Unlock()
-	for _, shard := range shards.entry.shardList() {
+func (hoster *Hoster) SetElsewhere() {
+	drivers := hoster.drivers()
+	hoster.mutex.Lock()
+	defer hoster.mutex.Unlock()
+	for _, shard := range hoster.shards {
 		if owned, ok := drivers[shard.ID]; ok {
 			if load, ok := owned.Load(); ok {
-				shards.use.Set(shard.ID, load.Teams)
+				hoster.use.Set(shard.ID, load.Teams)
 			}
 			continue
 		}
-		if told, ok := shards.told(shard.ID); ok {
-			shards.use.Set(shard.ID, told)
+		if told, ok := hoster.told(shard.ID); ok {
+			hoster.use.Set(shard.ID, told)
 		}
 	}
 	for shard, owned := range drivers {
-		owned.SetElsewhere(shards.use.Elsewhere(shard))
+		owned.SetElsewhere(hoster.use.Elsewhere(shard))
 	}
 }
 
 // told returns the use of each team by the statement of the shard's owner.
-func (shards *shards) told(shard descriptor.ShardID) (tallier.Use, bool) {
-	for _, owned := range shards.entry.exchanger.Owner(shard).GetShards() {
+func (hoster *Hoster) told(shard descriptor.ShardID) (tallier.Use, bool) {
+	for _, owned := range hoster.options.View().Owner(shard).GetShards() {
 		if owned.GetShard() != string(shard) {
 			continue
 		}
@@ -166,9 +210,9 @@
 	return nil, false
 }
 
-func (shards *shards) drivers() map[descriptor.ShardID]*driver.Driver {
+func (hoster *Hoster) drivers() map[descriptor.ShardID]*driver.Driver {
 	drivers := map[descriptor.ShardID]*driver.Driver{}
-	for shard, owned := range shards.entry.manager.Owned() {
+	for shard, owned := range hoster.options.Owned() {
 		if owned, ok := owned.(*running); ok {
 			drivers[shard] = owned.driver
 		}
@@ -176,23 +220,19 @@
 	return drivers
 }
 
-// local implements dispatcher.Options.Local.
-func (shards *shards) local(shard descriptor.ShardID) (dispatcher.Owner, bool) {
-	owned, ok := shards.entry.manager.Running(shard)
-	if !ok {
-		return nil, false
-	}
-	running, ok := owned.(*running)
+// Local implements dispatcher.Options.Local.
+func (hoster *Hoster) Local(shard descriptor.ShardID) (dispatcher.Owner, bool) {
+	running, ok := hoster.options.Owned()[shard].(*running)
 	if !ok {
 		return nil, false
 	}
 	return running.driver, true
 }
 
-// locate implements dispatcher.Options.Locate.
-func (shards *shards) locate(shard descriptor.ShardID) (dispatcher.Location, bool) {
-	owner := shards.entry.exchanger.Owner(shard)
-	if owner == nil || owner.GetId() == shards.entry.id {
+// Locate implements dispatcher.Options.Locate.
+func (hoster *Hoster) Locate(shard descriptor.ShardID) (dispatcher.Location, bool) {
+	owner := hoster.options.View().Owner(shard)
+	if owner == nil || owner.GetId() == hoster.options.Self {
 		return dispatcher.Location{}, false
 	}
 	address, ok := exchanger.Address(owner)
@@ -202,10 +242,10 @@
 	}, ok
 }
 
-// statement returns what is told to peers about the owned shards.
-func (shards *shards) statement() []*peerpb.OwnedShard {
+// Statement returns what is told to peers about the owned shards.
+func (hoster *Hoster) Statement() []*peerpb.OwnedShard {
 	var statement []*peerpb.OwnedShard
-	for shard, owned := range shards.drivers() {
+	for shard, owned := range hoster.drivers() {
 		load, ok := owned.Load()
 		if !ok {
 			continue
@@ -234,16 +274,16 @@
 	return statement
 }
 
-// rank implements dispatcher.Options.Rank.
-func (shards *shards) rank(job *descriptor.Job) []descriptor.ShardID {
-	described := shards.describe()
-	wanted := shards.selectors(job)
+// Rank implements dispatcher.Options.Rank.
+func (hoster *Hoster) Rank(job *descriptor.Job) []descriptor.ShardID {
+	described := hoster.describe()
+	wanted := hoster.selectors(job)
 	now := time.Now()
-	shards.mutex.Lock()
-	defer shards.mutex.Unlock()
-	order := shards.ranker.Rank(now, described, wanted)
+	hoster.mutex.Lock()
+	defer hoster.mutex.Unlock()
+	order := hoster.ranker.Rank(now, described, wanted)
 	if len(order) > 0 {
-		shards.ranker.Chosen(now, order[0], job)
+		hoster.ranker.Chosen(now, order[0], job)
 	}
 	return order
 }
@@ -252,15 +292,15 @@
 const ownStatementAge = 200 * time.Millisecond
 
 // describe returns all shards as their owners described them last.
-func (shards *shards) describe() []ranker.Shard {
+func (hoster *Hoster) describe() []ranker.Shard {
 	var described []ranker.Shard
-	for _, shard := range shards.entry.shardList() {
+	for _, shard := range hoster.shards {
 		one := ranker.Shard{
 			ID:     shard.ID,
 			Region: shard.Region,
 			Site:   shard.Site,
 		}
-		owner := shards.entry.exchanger.Owner(shard.ID)
+		owner := hoster.options.View().Owner(shard.ID)
 		for _, owned := range owner.GetShards() {
 			if owned.GetShard() != string(shard.ID) {
 				continue
@@ -269,8 +309,8 @@
 			one.Capacity = exchanger.Resources(owned.GetCapacity())
 			one.Free = exchanger.Resources(owned.GetFree())
 			one.Waiting = exchanger.Resources(owned.GetWaiting())
-			one.HeardAt = shards.entry.exchanger.Heard(owner.GetId())
-			if owner.GetId() == shards.entry.id {
+			one.HeardAt = hoster.options.View().Heard(owner.GetId())
+			if owner.GetId() == hoster.options.Self {
 				one.HeardAt = time.Now().Add(-ownStatementAge)
 			}
 		}
@@ -279,8 +319,8 @@
 	return described
 }
 
-func (shards *shards) selectors(job *descriptor.Job) []selector.Selector {
-	selectors := shards.entry.applier.Current().JobTreatment(job).Where
+func (hoster *Hoster) selectors(job *descriptor.Job) []selector.Selector {
+	selectors := hoster.options.Config().JobTreatment(job).Where
 	// A selector with a fault is refused when the job is validated.
 	if own, err := selector.Parse(job.Where); err == nil {
 		selectors = append(slices.Clone(selectors), own)
@@ -289,27 +329,17 @@
 }
 
 // build returns a driver that knows the list and the configuration.
-func (shards *shards) build(shard descriptor.ShardID) (*driver.Driver, func(), error) {
-	entry := shards.entry
-	made, cleanup, err := driver.New(driver.Options{
-		Shard:     shard,
-		Owner:     entry.id,
-		Store:     entry.store,
-		Executor:  entry.executor,
-		Authority: entry.authority,
-		Belongs:   shards.membership(shard),
-		Limiter:   shards.limiter,
-		RingSize:  uint64(entry.settings.Limits.RingSize),
-		Logger:    entry.log,
-		Tracers:   entry.tracer.Provider(),
-		Scope:     entry.meter.Scope,
-	})
+func (hoster *Hoster) build(shard descriptor.ShardID) (*driver.Driver, func(), error) {
+	options := hoster.options.Driver
+	options.Shard = shard
+	options.Belongs = hoster.membership(shard)
+	made, cleanup, err := driver.New(options)
 	if err != nil {
 		return nil, nil, err
 	}
-	shards.mutex.Lock()
-	list, config := shards.list, shards.config
-	shards.mutex.Unlock()
+	hoster.mutex.Lock()
+	list, config := hoster.list, hoster.config
+	hoster.mutex.Unlock()
 	if list.Validator != "" {
 		made.SetInstances(list)
 	}
@@ -317,21 +347,9 @@
 	return made, cleanup, nil
 }
 
-// authority translates what the store lease allows.
-func (entry *Entry) authority() signaler.Authority {
-	switch entry.holder.Authority() {
-	case holder.AuthorityAct:
-		return signaler.AuthorityAct
-	case holder.AuthorityRenew:
-		return signaler.AuthorityRenew
-	default:
-		return signaler.AuthorityNone
-	}
-}
-
 // membership returns a test for the workers of a shard. The workers of a rack stay together.
-func (shards *shards) membership(shard descriptor.ShardID) func(lister.Instance) bool {
-	for _, site := range shards.entry.settings.Shards {
+func (hoster *Hoster) membership(shard descriptor.ShardID) func(lister.Instance) bool {
+	for _, site := range hoster.options.Sites {
 		for i := range site.Count {
 			if shardID(site.Site, i) == shard {
 				return func(instance lister.Instance) bool {
