Ask workers at the expected end of runs

Cause: the end of a run was learned at the next message, up to 2 s later, and its result and freed capacity with it.

Change: a worker is asked at the expected end of its next run (estimate or declared run time, 20 ms slack), at least 100 ms after the last message, with gaps that double up to 2 s while the run goes on. Each run allows one such message without news; one that brings the end of a run is not counted.

--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -197,6 +197,11 @@
 	return allocator.estimate(work).Straggling(elapsed)
 }
 
+// Remaining returns the expected rest of a run of the work that has lasted for elapsed.
+func (allocator *Allocator) Remaining(work *Work, elapsed time.Duration) time.Duration {
+	return allocator.estimate(work).Remaining(elapsed)
+}
+
 func (allocator *Allocator) estimate(work *Work) estimator.Estimate {
 	return allocator.estimator.Estimate(estimator.ClassOf(work.Job), work.Job.Task, work.Job.RunTime.Duration)
 }
--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -96,6 +96,19 @@
 	Checkpoint bool
 	Straggling bool
 	Ended      bool
+	// Expected is when the worker should be asked whether the run has ended; zero leaves that to the
+	// regular messages. Gap is the time since the last such question.
+	Expected time.Time
+	Gap      time.Duration
+}
+
+// Elapsed returns how long the run has lasted when it is reported for the first time. A run that this
+// owner started has just begun.
+func (run *Run) Elapsed(now time.Time) time.Duration {
+	if !run.Sent.IsZero() {
+		return 0
+	}
+	return max(now.Sub(run.Since), 0)
 }
 
 // Description returns what the caller asked for.
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -21,9 +21,6 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
-// syncInterval is the time between two messages to a worker that has no commands.
-const syncInterval = 2 * time.Second
-
 // Dispatcher holds the live view of one shard in one term of its owner.
 type Dispatcher struct {
 	shard     descriptor.ShardID
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -31,7 +31,10 @@
 }
 
 func (dispatcher *Dispatcher) tickWorker(now time.Time, worker *watcher.Worker) {
-	if now.Sub(worker.Asked) >= syncInterval {
+	if now.Sub(worker.Asked) >= watcher.Interval {
+		dispatcher.due(worker)
+	}
+	if dispatcher.authority == signaler.AuthorityAct && !worker.Urgent && worker.AskForEnd(now) {
 		dispatcher.due(worker)
 	}
 	silent := worker.Suspect || !worker.Reported
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -108,7 +108,7 @@
 		return
 	}
 	// A worker that does not answer is asked at the interval only, whatever waits for it.
-	if worker.Suspect && now.Sub(worker.Asked) < syncInterval {
+	if worker.Suspect && now.Sub(worker.Asked) < watcher.Interval {
 		return
 	}
 	worker.Urgent, worker.InFlight, worker.Asked = false, true, now
@@ -152,7 +152,7 @@
 	if !ok {
 		return
 	}
-	worker.InFlight = false
+	worker.InFlight, worker.Question = false, false
 	worker.Suspect = true
 	dispatcher.recoverer.Unanswered(worker.ID, event.MayHaveArrived)
 	dispatcher.describe(worker)
@@ -195,7 +195,9 @@
 	}
 	worker.Description.Closed = reply.Leaving
 	dispatcher.describe(worker)
+	before := len(worker.Runs)
 	dispatcher.compare(now, worker, reply)
+	worker.Plan(now, len(worker.Runs) < before)
 	dispatcher.describe(worker)
 	dispatcher.crowd = dispatcher.crowd || opened
 	if again || worker.Urgent {
@@ -241,6 +243,7 @@
 	if run.Phase != arbiter.PhaseRunning {
 		run.Phase, run.Since = arbiter.PhaseRunning, report.Started
 		run.Task().Ran = true
+		worker.Expect(now, run, dispatcher.allocator.Remaining(run.Job.Work, run.Elapsed(now)))
 		dispatcher.note(now, run.Job, "Running", "task %d, attempt %d: running on %s", run.ID.Task, run.ID.Attempt, worker.ID)
 	}
 	if !report.Usage.At.IsZero() {
--- a/internal/shard/watcher/watcher.go
+++ b/internal/shard/watcher/watcher.go
@@ -35,6 +35,12 @@
 	Suspect  bool
 	InFlight bool
 	Asked    time.Time
+	// Expected is when a run on the worker should have ended; zero if that is not known.
+	Expected time.Time
+	// Questions is how many messages may still be sent only to ask for the end of a run.
+	Questions int
+	// Question tells that the latest message was such a one.
+	Question bool
 	// Urgent asks for a message before the interval is over.
 	Urgent bool
 	Runs   map[descriptor.RunID]*arbiter.Run
