--- a/internal/shard/allocator/pass.go
+++ b/internal/shard/allocator/pass.go
@@ -93,7 +93,7 @@
 	reservation, ok := allocator.orderer.Reservation(now)
 	return placer.Request{
 		Job:          work.ID,
-		Need:         work.Job.Task,
+		Need:         allocator.need(work),
 		Where:        work.where,
 		Spread:       work.Treatment.Spread,
 		Avoid:        allocator.avoid(work, task),
@@ -115,7 +115,7 @@
 			Task:    task,
 			Attempt: work.Attempts[task] + 1,
 		}
-		if err := allocator.reserve(work, run, workers[i], now, candidate.Borrowed); err != nil {
+		if err := allocator.reserve(work, allocator.need(work), run, workers[i], now, candidate.Borrowed); err != nil {
 			for _, placement := range result.Placements[first:] {
 				_ = allocator.placer.Release(placement.Run)
 			}
@@ -132,6 +132,15 @@
 }
 
 func (allocator *Allocator) choose(now time.Time, work *Work, tasks []int) ([]descriptor.WorkerID, error) {
+	workers, err := allocator.find(now, work, tasks)
+	if !errors.Is(err, placer.ErrTooLarge) || allocator.need(work) == work.Job.Task {
+		return workers, err
+	}
+	work.declaredOnly = true
+	return allocator.find(now, work, tasks)
+}
+
+func (allocator *Allocator) find(now time.Time, work *Work, tasks []int) ([]descriptor.WorkerID, error) {
 	if work.gang() {
 		return allocator.placer.PlaceGang(allocator.request(now, work, anyTask), len(tasks))
 	}
--- a/internal/shard/arbiter/arbiter.go
+++ b/internal/shard/arbiter/arbiter.go
@@ -57,6 +57,8 @@
 	Failures int
 	// Ran tells that some run started, or may have.
 	Ran bool
+	// Since is the start of the latest run that a worker reported; zero means none.
+	Since time.Time
 	// Lost tells that the state was TaskUnknown. Such a task is never started again.
 	Lost       bool
 	Checkpoint string
@@ -91,7 +93,11 @@
 	// Sent is the time of the only message that carries the start.
 	Sent time.Time
 	// Reserved tells that the allocator counts the run.
-	Reserved   bool
+	Reserved bool
+	// Usage is the latest reported one.
+	Usage descriptor.Usage
+	// Throttled is when the run was told to keep to its declared size; zero means never.
+	Throttled  time.Time
 	Stop       bool
 	Checkpoint bool
 	Straggling bool
--- a/internal/shard/controller/controller.go
+++ b/internal/shard/controller/controller.go
@@ -92,6 +92,8 @@
 		if event.Config != nil {
 			controller.dispatcher.Configure(event.Config)
 		}
+	case signaler.UseElsewhere:
+		controller.dispatcher.SetElsewhere(event.Teams)
 	case signaler.AuthorityChanged:
 		controller.authority = event.Authority
 		controller.dispatcher.SetAuthority(event.Authority)
@@ -135,8 +137,9 @@
 	}
 }
 
-// Snapshot returns records that rebuild the durable state.
+// Snapshot returns records that rebuild the durable state, with the sizes learned until now.
 func (controller *Controller) Snapshot() []*recordpb.Record {
+	controller.durable.SetLearned(controller.dispatcher.Estimates())
 	return controller.durable.Records()
 }
 
--- a/internal/shard/controller/ends_test.go
+++ b/internal/shard/controller/ends_test.go
@@ -22,9 +22,10 @@
 type ends struct {
 	*world
 	// length returns how long a run lasts.
-	length func() time.Duration
-	until  map[descriptor.RunID]time.Time
-	ended  map[descriptor.RunID]time.Time
+	length  func() time.Duration
+	started map[descriptor.RunID]time.Time
+	until   map[descriptor.RunID]time.Time
+	ended   map[descriptor.RunID]time.Time
 	// delays are the times from the end of each run to its acknowledgement.
 	delays   []time.Duration
 	messages int
@@ -32,11 +33,13 @@
 
 func newEnds(t rapid.TB, workers int, length func() time.Duration) *ends {
 	ends := &ends{
-		world:  newWorld(t, workers),
-		length: length,
-		until:  map[descriptor.RunID]time.Time{},
-		ended:  map[descriptor.RunID]time.Time{},
+		world:   newWorld(t, workers),
+		length:  length,
+		started: map[descriptor.RunID]time.Time{},
+		until:   map[descriptor.RunID]time.Time{},
+		ended:   map[descriptor.RunID]time.Time{},
 	}
+	ends.honest = true
 	ends.pass(time.Second)
 	ends.messages = 0
 	return ends
@@ -82,10 +85,14 @@
 	ends.lapse(machine)
 	for _, id := range sortedKeys(machine.running) {
 		if _, ok := ends.until[id]; !ok {
+			ends.started[id] = ends.now
 			ends.until[id] = ends.now.Add(ends.length())
 		}
 		if !ends.now.Before(ends.until[id]) {
 			ends.finish(machine, id, "Done")
+			result := machine.finished[id]
+			result.Started = ends.started[id]
+			machine.finished[id] = result
 			ends.ended[id] = ends.now
 		}
 	}
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -33,8 +33,14 @@
 	starts   map[string]int
 	done     map[string]int
 	told     map[string]string
-	request  signaler.Request
-	nonce    uint64
+	// fates are those of the jobs that the newest owner told last.
+	fates   map[descriptor.JobID]string
+	request signaler.Request
+	nonce   uint64
+	// honest work uses what it declares.
+	honest bool
+	// observe is told of every action, if it is set.
+	observe func(signaler.Action)
 }
 
 type owner struct {
@@ -89,6 +95,7 @@
 		starts: map[string]int{},
 		done:   map[string]int{},
 		told:   map[string]string{},
+		fates:  map[descriptor.JobID]string{},
 	}
 	for i := range workers {
 		machine := &machine{
@@ -130,6 +137,10 @@
 			Authority: signaler.AuthorityRenew,
 		})
 	}
+	// Starts are not in the journal, so a new owner may not know yet that a job is running.
+	maps.DeleteFunc(world.fates, func(_ descriptor.JobID, fate string) bool {
+		return fate == "Running"
+	})
 	world.epoch++
 	fresh := &owner{
 		Controller: New("hof-0"),
@@ -157,6 +168,9 @@
 		return
 	}
 	for _, action := range owner.Step(world.now, event) {
+		if world.observe != nil {
+			world.observe(action)
+		}
 		switch action := action.(type) {
 		case signaler.Append:
 			owner.queue = append(owner.queue, action)
@@ -310,6 +324,10 @@
 		reply.Running = append(reply.Running, executor.RunReport{
 			Run:     id,
 			Started: world.now,
+			Usage: descriptor.Usage{
+				Resources: world.use(id),
+				At:        world.now,
+			},
 		})
 	}
 	for _, id := range sortedKeys(machine.finished) {
@@ -318,6 +336,15 @@
 	return reply, true
 }
 
+// use is far more memory than declared for every other task, so that two of them fill a worker.
+func (world *world) use(id descriptor.RunID) descriptor.Resources {
+	used := world.jobs[id.Job].Task
+	if !world.honest && (len(world.jobs)+id.Task)%2 == 0 {
+		used.MemoryBytes = capacity.MemoryBytes / 8 * 5
+	}
+	return used
+}
+
 func (world *world) carryOut(machine *machine, request executor.SyncRequest) {
 	if expires := world.now.Add(request.Lease); request.Lease > 0 && expires.After(machine.expires) {
 		machine.expires = expires
@@ -434,6 +461,7 @@
 		if problem != nil {
 			world.t.Fatalf("job %s was accepted and is gone: %v", id, problem)
 		}
+		world.follow(id, status.Fate)
 		ran := 0
 		for _, task := range status.Tasks {
 			name := fmt.Sprintf("%s/%d", id, task.Task)
@@ -453,3 +481,15 @@
 		}
 	}
 }
+
+// follow checks that a job is not pending again once it runs, and that Unknown only becomes final.
+func (world *world) follow(id descriptor.JobID, fate descriptor.FateRecord) {
+	last := world.fates[id]
+	back := last == "Running" && fate.Fate == "Pending" ||
+		last == "Unknown" && fate.Fate != "Unknown" && !fate.Final()
+	if back {
+		status, _ := world.owner().Status(id, true)
+		world.t.Fatalf("job %s was %s and is %+v: %+v\n%s", id, last, fate, status.Tasks, trail(status))
+	}
+	world.fates[id] = fate.Fate
+}
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -242,12 +242,13 @@
 	}
 	if run.Phase != arbiter.PhaseRunning {
 		run.Phase, run.Since = arbiter.PhaseRunning, report.Started
+		run.Task().Since = report.Started
 		run.Task().Ran = true
 		worker.Expect(now, run, dispatcher.allocator.Remaining(run.Job.Work, run.Elapsed(now)))
 		dispatcher.note(now, run.Job, "Running", "task %d, attempt %d: running on %s", run.ID.Task, run.ID.Attempt, worker.ID)
 	}
 	if !report.Usage.At.IsZero() {
-		dispatcher.allocator.Observe(run.Job.Work, report.Usage)
+		dispatcher.observe(worker, run, report.Usage)
 	}
 }
 
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/shard/batcher"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/journaler"
@@ -31,6 +33,8 @@
 	work   sync.WaitGroup
 
 	authority signaler.Authority
+	// elsewhere is what the controller was told last.
+	elsewhere *signaler.UseElsewhere
 	waiters   map[signaler.Request]chan answer
 	request   signaler.Request
 	queue     batcher.Queue
@@ -113,6 +117,10 @@
 
 func (term *term) tick(ctx context.Context) {
 	term.checkAuthority(ctx)
+	if elsewhere := term.driver.elsewhere.Load(); elsewhere != term.elsewhere {
+		term.elsewhere = elsewhere
+		term.step(ctx, *elsewhere)
+	}
 	term.step(ctx, signaler.Tick{})
 	term.flush(ctx)
 	if now := term.driver.options.Now(); now.Sub(term.loadedAt) >= loadInterval {
@@ -246,14 +254,24 @@
 	case signaler.AnswerCancel:
 		term.respond(action.Request, action)
 	case signaler.Explain:
-		term.driver.options.Logger.DebugContext(ctx, "decision about a job", "Event", eventDecision,
-			"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+		term.explain(ctx, action)
 	case signaler.Halt:
 		term.end(action.Reason)
 	}
 	return nil
 }
 
+func (term *term) explain(ctx context.Context, action signaler.Explain) {
+	log := term.driver.options.Logger
+	log.DebugContext(ctx, "decision about a job", "Event", eventDecision,
+		"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+	if action.Decision.Code == signaler.CodeStraggling {
+		logger.Log(ctx, log, logger.EventJobStraggling,
+			slog.String("Shard", string(term.driver.options.Shard)),
+			slog.String("Job", string(action.Job)), slog.String("Text", action.Decision.Text))
+	}
+}
+
 // sync sends a message to a worker and brings its answer to the event loop.
 func (term *term) sync(ctx context.Context, action signaler.Sync) {
 	defer term.work.Done()
