--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -128,7 +128,7 @@
 		Level:   slog.LevelInfo,
 		Name:    "ShardRecovered",
 		Text:    "shard recovered",
-		Meaning: "The journal was read and the workers queried; the shard places work again.",
+		Meaning: "The journal was read and the shard answers callers; it places work as its workers report.",
 	},
 	{
 		Event:   EventShardHandedOver,
@@ -186,6 +186,13 @@
 		Text:    "snapshot failed",
 		Meaning: "The journal's ring fills up. Acceptance stops when it is full; see the store.",
 	},
+	{
+		Event:   EventShardGivenUp,
+		Level:   slog.LevelInfo,
+		Name:    "ShardGivenUp",
+		Text:    "shard given up",
+		Meaning: "A term of the shard's owner ended for `Reason`. `ShardLost` or `ShardHandedOver` follows.",
+	},
 	{
 		Event:   EventWorkerUnreachable,
 		Level:   slog.LevelWarn,
@@ -291,6 +298,13 @@
 		Text:    "run preempted",
 		Meaning: "The run was checkpointed to make room for more urgent work.",
 	},
+	{
+		Event:   EventJobDecided,
+		Level:   slog.LevelDebug,
+		Name:    "JobDecided",
+		Text:    "decision about a job",
+		Meaning: "One step of the job's trail, as `explain` shows it. There are several for each job.",
+	},
 	{
 		Event:   EventRequestRefused,
 		Level:   slog.LevelDebug,
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -33,6 +33,7 @@
 	EventJournalWriteResolved Event = 308
 	EventSnapshotWritten      Event = 309
 	EventSnapshotFailed       Event = 310
+	EventShardGivenUp         Event = 311
 
 	// Workers.
 	EventWorkerUnreachable Event = 401
@@ -52,6 +53,7 @@
 	EventJobDeadlineMissed Event = 505
 	EventJobStraggling     Event = 506
 	EventRunPreempted      Event = 507
+	EventJobDecided        Event = 508
 
 	// Requests.
 	EventRequestRefused   Event = 601
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/platform/executor"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
@@ -154,23 +155,28 @@
 	if driver.options.Authority() != signaler.AuthorityAct {
 		return errors.Wrap(ErrEnded, "no lease")
 	}
-	logger := driver.options.Logger.With("Shard", driver.options.Shard)
 	term, err := driver.takeOver(ctx)
 	if err != nil {
-		logger.Warn("shard was not taken over", "Event", eventTakeoverFailed, "Error", err)
+		driver.log(ctx, logger.EventShardRecoveryFailed, logger.Error(err))
 		return errors.Wrap(ErrEnded, err.Error())
 	}
-	logger.Info("shard taken over", "Event", eventTakenOver, "Epoch", term.journal.Epoch())
+	driver.log(ctx, logger.EventShardRecovered, slog.Uint64("Epoch", term.journal.Epoch()))
 	driver.metrics.takeovers.Inc(1)
 	reason := term.run(ctx)
 	driver.load.Store(nil)
-	logger.Info("shard given up", "Event", eventGivenUp, "Epoch", term.journal.Epoch(), "Reason", reason)
+	driver.log(ctx, logger.EventShardGivenUp, slog.Uint64("Epoch", term.journal.Epoch()), slog.String("Reason", reason))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	return errors.Wrap(ErrEnded, reason)
 }
 
+// log writes an event of the shard.
+func (driver *Driver) log(ctx context.Context, event logger.Event, attributes ...slog.Attr) {
+	shard := slog.String("Shard", string(driver.options.Shard))
+	logger.Log(ctx, driver.options.Logger, event, append([]slog.Attr{shard}, attributes...)...)
+}
+
 // takeOver opens the journal and starts a controller from its records.
 func (driver *Driver) takeOver(ctx context.Context) (*term, error) {
 	ctx, span := driver.tracer.Start(ctx, "shard.takeover")
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -165,6 +166,7 @@
 	store     *memoryStore
 	worker    *memoryWorker
 	authority atomic.Int64
+	log       *slog.Logger
 }
 
 func newBench(t testing.TB) *bench {
@@ -193,6 +195,7 @@
 			return signaler.Authority(bench.authority.Load())
 		},
 		RingSize: 40,
+		Logger:   bench.log,
 	})
 	if err != nil {
 		bench.t.Fatal(err)
--- a/internal/shard/driver/flush.go
+++ b/internal/shard/driver/flush.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/shard/batcher"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
@@ -114,8 +115,7 @@
 
 // refuse tells the submissions that can't have been written, and pauses the writes.
 func (term *term) refuse(ctx context.Context, now time.Time, err error) {
-	term.driver.options.Logger.WarnContext(ctx, "journal is unavailable", "Event", eventJournalDown,
-		"Shard", term.driver.options.Shard, "Error", err)
+	term.driver.log(ctx, logger.EventJournalWriteFailed, logger.Error(err))
 	term.queue.FailedUntil = now.Add(retryPause)
 	for _, token := range term.queue.Drop() {
 		term.step(ctx, signaler.Refused{
@@ -152,8 +152,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, journaler.ErrUnavailable):
-		term.driver.options.Logger.WarnContext(ctx, "snapshot failed", "Event", eventSnapshotFailed,
-			"Shard", term.driver.options.Shard, "Error", err)
+		term.driver.log(ctx, logger.EventSnapshotFailed, logger.Error(err))
 	default:
 		term.end(err.Error())
 	}
--- a/internal/shard/driver/metrics.go
+++ b/internal/shard/driver/metrics.go
@@ -6,16 +6,6 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Numbers of log events, as listed in docs/events.md.
-const (
-	eventTakenOver      = 3001
-	eventTakeoverFailed = 3002
-	eventGivenUp        = 3003
-	eventJournalDown    = 3004
-	eventSnapshotFailed = 3005
-	eventDecision       = 3006
-)
-
 type metrics struct {
 	takeovers tally.Counter
 	appends   tally.Counter
--- a/internal/shard/driver/term.go
+++ b/internal/shard/driver/term.go
@@ -262,13 +262,11 @@
 }
 
 func (term *term) explain(ctx context.Context, action signaler.Explain) {
-	log := term.driver.options.Logger
-	log.DebugContext(ctx, "decision about a job", "Event", eventDecision,
-		"Job", action.Job, "Code", action.Decision.Code, "Text", action.Decision.Text)
+	job := slog.String("Job", string(action.Job))
+	text := slog.String("Text", action.Decision.Text)
+	term.driver.log(ctx, logger.EventJobDecided, job, slog.String("Code", action.Decision.Code), text)
 	if action.Decision.Code == signaler.CodeStraggling {
-		logger.Log(ctx, log, logger.EventJobStraggling,
-			slog.String("Shard", string(term.driver.options.Shard)),
-			slog.String("Job", string(action.Job)), slog.String("Text", action.Decision.Text))
+		term.driver.log(ctx, logger.EventJobStraggling, job, text)
 	}
 }
 
