--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -38,11 +38,11 @@
 	Avoid []descriptor.WorkerID
 
 	where placer.Where
+	// declaredOnly is set when no worker could hold the learned size.
+	declaredOnly bool
 	// failures holds those of each task; failedAt is the time of the latest one.
 	failures map[int]failure
 	failedAt time.Time
-	// declaredOnly is set when no worker could hold the learned size.
-	declaredOnly bool
 }
 
 // NewWork returns the work of a job. It fails if the job's selector is malformed.
--- a/internal/shard/allocator/straggler.go
+++ b/internal/shard/allocator/straggler.go
@@ -68,6 +68,9 @@
 	})
 	for _, one := range found {
 		_, tasks, _ := allocator.orderer.Waiting(one.work.ID)
+		if len(tasks) == 0 {
+			continue
+		}
 		if _, err := allocator.choose(now, one.work, tasks[:1]); errors.Is(err, placer.ErrNoRoom) {
 			one.left = len(tasks)
 		}
