--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -225,6 +225,11 @@
 	return allocator.estimate(work).Resources
 }
 
+// Remaining returns the expected rest of a run of the work that has lasted for elapsed.
+func (allocator *Allocator) Remaining(work *Work, elapsed time.Duration) time.Duration {
+	return allocator.estimate(work).Remaining(elapsed)
+}
+
 func (allocator *Allocator) estimate(work *Work) estimator.Estimate {
 	return allocator.estimator.Estimate(estimator.ClassOf(work.Job), work.Job.Task, work.Job.RunTime.Duration)
 }
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -167,6 +167,7 @@
 	store     *memoryStore
 	worker    *memoryWorker
 	authority atomic.Int64
+	log       *slog.Logger
 }
 
 func newBench(t testing.TB) *bench {
@@ -195,6 +196,7 @@
 			return signaler.Authority(bench.authority.Load())
 		},
 		RingSize: 40,
+		Logger:   bench.log,
 	})
 	if err != nil {
 		bench.t.Fatal(err)
