--- a/integration/linear_calls_test.go
+++ b/integration/linear_calls_test.go
@@ -191,16 +191,21 @@
 
 // report logs what became of the calls, so that a trial without work is noticed.
 func (trial *trial) report(states []descriptor.JobStatus) {
-	fates, requests := map[string]int{}, map[string]int{}
+	fates, requests, applies := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, operation := range trial.recorder.operations["configuration"] {
+		if operation.Input.(change).Call == applyCall {
+			applies[operation.Output.(changed).Outcome]++
+		}
+	}
 	for _, state := range states {
 		fates[state.Fate.Fate]++
 	}
 	for _, outcome := range trial.outcomes {
 		requests[string(outcome.code())]++
 	}
-	trial.t.Logf("%d keys, %d accepted jobs, fates of started jobs %v, requests by code %v",
-		len(trial.keys), len(trial.jobs), fates, requests)
-	if len(states) == 0 || requests[""] == 0 {
-		trial.t.Error("no job was started or no request was answered")
+	trial.t.Logf("%d keys, %d accepted jobs, fates of started jobs %v, requests by code %v, applies %v",
+		len(trial.keys), len(trial.jobs), fates, requests, applies)
+	if len(states) == 0 || requests[""] == 0 || applies[accepted] == 0 {
+		trial.t.Error("no job was started, no request was answered or no configuration was applied")
 	}
 }
