Answer repeated submissions from the binding; remove settings without effect

Cause: a repeat of an accepted submission was probed again and could be told Impossible or Unavailable. Six settings were checked but never used. Change: the registrar is asked for the key's binding before targets are probed. StoreReads, RunnerSlots, RunnerConnections, TaskLease, Flush and Sync are gone: they are constants on which all instances of a cell have to agree. Before: TestBoundKeyIsNotProbed fails. After: it passes, with all tests of entry, shard, node, client and local.

--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -38,6 +38,8 @@
 type Owner interface {
 	// Probe returns CodeImpossible when the shard could never run the job.
 	Probe(ctx context.Context, job descriptor.Job) error
+	// Bound returns the job that the job's key is bound to, or an empty ID.
+	Bound(ctx context.Context, job descriptor.Job) (descriptor.JobID, error)
 	// Submit binds the job's key and returns the job's ID with its target shard.
 	Submit(ctx context.Context, job descriptor.Job, targets []descriptor.ShardID) (descriptor.JobID, descriptor.ShardID, bool, error)
 	// Accept makes the job durable.
@@ -160,7 +162,15 @@
 func (dispatcher *Dispatcher) register(ctx context.Context, owner Owner, job *descriptor.Job, description []byte,
 	targets []descriptor.ShardID,
 ) (descriptor.JobID, bool, error) {
-	admitting, err := dispatcher.admitting(ctx, job, description, targets)
+	bound, err := owner.Bound(ctx, *job)
+	if err != nil {
+		return "", false, err
+	}
+	admitting := targets
+	if bound == "" {
+		// A repeated submission is answered from the binding, whatever its targets say now.
+		admitting, err = dispatcher.admitting(ctx, job, description, targets)
+	}
 	if err != nil {
 		return "", false, err
 	}
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -18,6 +18,8 @@
 	Owner
 
 	existed bool
+	// probe is the code with which the target says that it would refuse the job.
+	probe descriptor.Code
 	// binding is the code with which the binding of a key is refused.
 	binding  descriptor.Code
 	problems []descriptor.Code
@@ -25,9 +27,19 @@
 }
 
 func (owner *owner) Probe(context.Context, descriptor.Job) error {
+	if owner.probe != "" {
+		return descriptor.NewProblem(owner.probe, 0, "test")
+	}
 	return nil
 }
 
+func (owner *owner) Bound(context.Context, descriptor.Job) (descriptor.JobID, error) {
+	if owner.existed {
+		return "a-0.1", nil
+	}
+	return "", nil
+}
+
 func (owner *owner) Submit(_ context.Context, _ descriptor.Job, targets []descriptor.ShardID) (descriptor.JobID, descriptor.ShardID, bool, error) {
 	if owner.binding != "" {
 		return "", "", false, descriptor.NewProblem(owner.binding, 0, "test")
@@ -109,6 +121,21 @@
 	}
 }
 
+// TestBoundKeyIsNotProbed guards against refusing a repeated submission of an accepted job because its
+// target would not take it now.
+func TestBoundKeyIsNotProbed(t *testing.T) {
+	_, existed, err := newDispatcher(&owner{
+		existed:  true,
+		probe:    descriptor.CodeImpossible,
+		problems: []descriptor.Code{""},
+	}).Submit(t.Context(), descriptor.Job{
+		Key: "key",
+	})
+	if err != nil || !existed {
+		t.Errorf("repeated submission: got %v, %v, want the accepted job", existed, err)
+	}
+}
+
 // TestHarmless guards against a question that is reported as open although the last answer is definite.
 func TestHarmless(t *testing.T) {
 	dispatcher := newDispatcher(&owner{
--- a/internal/local/launcher/entries.go
+++ b/internal/local/launcher/entries.go
@@ -90,8 +90,6 @@
 	settings.HTTP, settings.Peer = loopback, loopback
 	settings.Store = []netip.AddrPort{cell.keeper.Address()}
 	settings.List = cell.keeper.Address()
-	settings.Limits.RunnerSlots = scenario.Runners.Slots
-	settings.Limits.RunnerConnections = scenario.Runners.Connections
 	settings.Timeouts.Drain.Duration = cell.options.Drain * 3 / 4
 	for _, site := range scenario.Sites {
 		settings.Shards = append(settings.Shards, loader.SiteShards{
--- a/internal/node/loader/check.go
+++ b/internal/node/loader/check.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"regexp"
 	"strings"
+	"time"
 
 	"pomelomoor/internal/work/descriptor"
 )
@@ -129,6 +130,10 @@
 	}
 }
 
+// maxStoreLease leaves a new owner time to renew the leases of running tasks, which last 15 s, after
+// the former owner's lease has run out.
+const maxStoreLease = 10 * time.Second
+
 // checkLeases checks the relations between times on which exclusive ownership depends.
 func (settings *Settings) checkLeases(checker *checker) {
 	timeouts, intervals := settings.Timeouts, settings.Intervals
@@ -139,11 +144,8 @@
 		checker.fault("Intervals.LeaseRenewal",
 			"must be at most half of Timeouts.StoreLease less Timeouts.LeaseMargin, so that one renewal may fail")
 	}
-	if 2*intervals.Sync.Duration > timeouts.TaskLease.Duration {
-		checker.fault("Intervals.Sync", "must be at most half of Timeouts.TaskLease")
-	}
-	if timeouts.TaskLease.Duration <= timeouts.StoreLease.Duration {
-		checker.fault("Timeouts.TaskLease", "must be longer than Timeouts.StoreLease")
+	if timeouts.StoreLease.Duration > maxStoreLease {
+		checker.fault("Timeouts.StoreLease", "must be at most %s", maxStoreLease)
 	}
 	if timeouts.PeerSilence.Duration <= intervals.Exchange.Duration {
 		checker.fault("Timeouts.PeerSilence", "must be longer than Intervals.Exchange")
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -61,14 +61,8 @@
 	BufferBytes int
 	// QueuedRequests bounds the interactive requests that wait.
 	QueuedRequests int
-	// RunnerSlots is the number of requests a runner works on at a time.
-	RunnerSlots int
-	// RunnerConnections is the number of connections a runner accepts.
-	RunnerConnections int
 	// StoreWrites is the whole cell's budget of store writes a second.
 	StoreWrites int
-	// StoreReads is the whole cell's budget of store reads a second.
-	StoreReads int
 	// RingSize is the number of slots in a shard's journal.
 	RingSize int
 	// Spans bounds the trace spans kept in memory.
@@ -83,8 +77,6 @@
 	LeaseMargin descriptor.Duration
 	// StoreCall bounds one call to the store, except for watches.
 	StoreCall descriptor.Duration
-	// TaskLease is how long a worker runs tasks without renewal.
-	TaskLease descriptor.Duration
 	// WorkerCall bounds one call to a worker.
 	WorkerCall descriptor.Duration
 	// PeerSilence makes a peer of the same region suspected.
@@ -104,8 +96,6 @@
 
 // Intervals pace repeated work.
 type Intervals struct {
-	// Flush is the shortest time between two journal writes of a shard.
-	Flush descriptor.Duration
 	// LeaseRenewal paces renewals of the store lease.
 	LeaseRenewal descriptor.Duration
 	// Exchange paces the exchange with peers of the region, RegionExchange that between regions.
@@ -113,8 +103,6 @@
 	RegionExchange descriptor.Duration
 	// List paces polls of the list of instances.
 	List descriptor.Duration
-	// Sync paces calls to an unchanged worker.
-	Sync descriptor.Duration
 	// Metrics paces the collection of metrics.
 	Metrics descriptor.Duration
 }
@@ -137,13 +125,10 @@
 			Headers:     64,
 			Calls:       4096,
 			// A quarter of the memory that a node may use.
-			BufferBytes:       32 << 20,
-			QueuedRequests:    4096,
-			RunnerSlots:       8,
-			RunnerConnections: 64,
+			BufferBytes:    32 << 20,
+			QueuedRequests: 4096,
 			// A quarter of what the store handles; its other users have the rest.
 			StoreWrites: 75,
-			StoreReads:  500,
 			RingSize:    256,
 			Spans:       4096,
 		},
@@ -151,7 +136,6 @@
 			StoreLease:    duration(4 * time.Second),
 			LeaseMargin:   duration(500 * time.Millisecond),
 			StoreCall:     duration(time.Second),
-			TaskLease:     duration(15 * time.Second),
 			WorkerCall:    duration(2 * time.Second),
 			PeerSilence:   duration(3 * time.Second),
 			RegionSilence: duration(8 * time.Second),
@@ -162,12 +146,10 @@
 			Drain:         duration(30 * time.Second),
 		},
 		Intervals: Intervals{
-			Flush:          duration(50 * time.Millisecond),
 			LeaseRenewal:   duration(time.Second),
 			Exchange:       duration(time.Second),
 			RegionExchange: duration(2 * time.Second),
 			List:           duration(2 * time.Second),
-			Sync:           duration(2 * time.Second),
 			Metrics:        duration(time.Second),
 		},
 	}
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if settings.Timeouts.Drain.String() != "5s" || settings.Timeouts.TaskLease.String() != "15s" {
+	if settings.Timeouts.Drain.String() != "5s" || settings.Timeouts.StoreLease.String() != "4s" {
 		t.Errorf("a group given in part lost its defaults: %+v", settings.Timeouts)
 	}
 	if len(settings.Shards) != 1 || settings.Shards[0].Site != "oberland-hof" {
--- a/internal/shard/controller/probe.go
+++ b/internal/shard/controller/probe.go
@@ -26,3 +26,12 @@
 		return nil
 	}
 }
+
+// Bound returns the job that the job's key is durably bound to, or an empty ID.
+func (controller *Controller) Bound(job *descriptor.Job) (descriptor.JobID, *descriptor.Problem) {
+	if problem := controller.unavailable(); problem != nil {
+		return "", problem
+	}
+	binding, _ := controller.durable.Keys.Find(job.Caller, job.Key)
+	return binding.Job, nil
+}
--- a/internal/shard/driver/probe.go
+++ b/internal/shard/driver/probe.go
@@ -23,3 +23,24 @@
 	}
 	return nil
 }
+
+// Bound returns the job that the job's key is bound to, or an empty ID.
+func (driver *Driver) Bound(ctx context.Context, job descriptor.Job) (descriptor.JobID, error) {
+	ctx, span := driver.start(ctx, "shard.bound")
+	defer span.End()
+	answer := driver.ask(ctx, call{
+		query: func(machine *controller.Controller) answer {
+			bound, problem := machine.Bound(&job)
+			return answer{
+				status: descriptor.JobStatus{
+					ID: bound,
+				},
+				problem: problem,
+			}
+		},
+	})
+	if answer.problem != nil {
+		return "", failed(span, answer.problem)
+	}
+	return answer.status.ID, nil
+}
