arbiter: a job is not Unknown before all ends are durable

Cause: a task whose run was found never to have started counted as dropped before the record of that was durable. With another task Unknown, the job was reported as Unknown, and as Pending or Running again by the next owner.

TestUnknownAcrossTakeover fails without the change.

--- a/internal/shard/arbiter/status.go
+++ b/internal/shard/arbiter/status.go
@@ -104,6 +104,8 @@
 			// A task that was dropped waits only for the end of the job, unless it was dropped by a
 			// cancellation that is not durable yet. One that was lost drops the rest of its gang.
 			undone := job.Cancelled && durable.Cancelled.IsZero() && !job.Gang()
+			// The next owner does not know of an end that is not durable.
+			undone = undone || durable.Tasks[i].Open()
 			dropped := task.State == TaskNotRun && !undone
 			open = open || !dropped
 		case descriptor.Running:
