--- a/internal/shard/driver/await_test.go
+++ b/internal/shard/driver/await_test.go
@@ -42,7 +42,7 @@
 		return err
 	})
 	group.Wait()
-	if open := bench.awaits.open(); len(open) > 0 {
+	if open := bench.awaits.Open(); len(open) > 0 {
 		t.Errorf("still awaited: %v", open)
 	}
 	service.Key = "l"
--- a/internal/shard/driver/calls.go
+++ b/internal/shard/driver/calls.go
@@ -78,11 +78,20 @@
 
 // Status returns what is known about a job of this shard, with its trail if explain is set.
 func (driver *Driver) Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error) {
-	ctx, span := driver.start(ctx, "shard.status")
+	return driver.query(ctx, "shard.status", func(machine *controller.Controller) (descriptor.JobStatus, *descriptor.Problem) {
+		return machine.Status(id, explain)
+	})
+}
+
+// query asks the controller something that changes nothing.
+func (driver *Driver) query(ctx context.Context, name string,
+	question func(*controller.Controller) (descriptor.JobStatus, *descriptor.Problem),
+) (descriptor.JobStatus, error) {
+	ctx, span := driver.start(ctx, name)
 	defer span.End()
 	answered := driver.ask(ctx, call{
 		query: func(machine *controller.Controller) answer {
-			status, problem := machine.Status(id, explain)
+			status, problem := question(machine)
 			return answer{
 				status:  status,
 				problem: problem,
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -22,6 +22,7 @@
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/platform/storer"
 	"pomelomoor/internal/shard/allocator"
+	"pomelomoor/internal/shard/awaiter"
 	"pomelomoor/internal/shard/caller"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/signaler"
@@ -90,7 +91,7 @@
 	load    atomic.Pointer[Load]
 	serving sync.WaitGroup
 
-	awaits awaits
+	awaits awaiter.Awaiter[answer]
 	// elsewhere is the latest event of SetElsewhere, or nil.
 	elsewhere atomic.Pointer[signaler.UseElsewhere]
 
