requester: carry the trace context to the upstream

Cause: the trace ended at the entry instance; the runner got no trace context. Change: each attempt carries the W3C Traceparent header of its span; the runner stand-in keeps it in its history. Before: TestTrace fails with an empty context. After: it passes. Conclusion: a trace reaches from the caller to the back end.

--- a/internal/platform/requester/client.go
+++ b/internal/platform/requester/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/propagation"
 
 	"pomelomoor/internal/platform/sender"
 )
@@ -19,9 +20,11 @@
 // Headers of requests and answers.
 const (
 	// HeaderID is in the request and in its answer.
-	HeaderID         = "Request-Id"
-	HeaderService    = "Service"
-	HeaderCaller     = "Caller"
+	HeaderID      = "Request-Id"
+	HeaderService = "Service"
+	HeaderCaller  = "Caller"
+	// HeaderTrace carries the W3C trace context, by which the upstream's spans join the caller's trace.
+	HeaderTrace      = "Traceparent"
 	HeaderDeadline   = "Deadline"
 	HeaderIdempotent = "Idempotent"
 	// HeaderRefused is in the answer to a request that was not run, and names the reason.
@@ -113,7 +116,7 @@
 		Method:  http.MethodPost,
 		Address: runner,
 		Path:    Path,
-		Header:  header(request),
+		Header:  header(ctx, request),
 		Body:    request.Body,
 		Limit:   MaxBody,
 	})
@@ -129,8 +132,9 @@
 	return check(request, answer)
 }
 
-func header(request Request) http.Header {
+func header(ctx context.Context, request Request) http.Header {
 	header := make(http.Header)
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderID, request.ID)
 	header.Set(HeaderService, request.Service)
--- a/internal/standin/runner/handler.go
+++ b/internal/standin/runner/handler.go
@@ -137,6 +137,7 @@
 		Caller:     request.Header.Get(requester.HeaderCaller),
 		Key:        work.Key,
 		Idempotent: idempotent,
+		Trace:      request.Header.Get(requester.HeaderTrace),
 		Started:    time.Now(),
 	})
 	return len(runner.history) - 1, ""
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -68,7 +68,9 @@
 	// Key is the caller's own key, from the body.
 	Key        string
 	Idempotent bool
-	Started    time.Time
+	// Trace is the W3C trace context that came with the request.
+	Trace   string `json:",omitempty"`
+	Started time.Time
 	// Ended is zero while the request runs.
 	Ended time.Time `json:",omitzero"`
 	// Completed is false when the work was stopped before its end.
--- a/internal/standin/runner/runner_test.go
+++ b/internal/standin/runner/runner_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"pomelomoor/internal/platform/requester"
 	"pomelomoor/internal/standin/runner"
@@ -201,3 +202,20 @@
 		t.Errorf("history %+v", history)
 	}
 }
+
+// TestTrace guards against a trace that ends at the entry instance.
+func TestTrace(t *testing.T) {
+	fixture := start(t, runner.Options{})
+	ctx := trace.ContextWithSpanContext(t.Context(), trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID:    trace.TraceID{1},
+		SpanID:     trace.SpanID{2},
+		TraceFlags: trace.FlagsSampled,
+	}))
+	if _, err := fixture.send(ctx, "1", 0, time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	want := "00-01000000000000000000000000000000-0200000000000000-01"
+	if got := fixture.runner.History()[0].Trace; got != want {
+		t.Errorf("the runner got trace context %q, want %q", got, want)
+	}
+}
