Name queues, flags and times by their usual terms

Cause: crowd, woken, crowded, greediest and patience needed explaining. Change: placementDue, syncQueue, unreservedCount, longestFirst, AgingTime and RetryTime. No behaviour changed. Conclusion: none.

--- a/internal/entry/dispatcher/await.go
+++ b/internal/entry/dispatcher/await.go
@@ -12,7 +12,7 @@
 // instance begins. The wait goes on at the next owner when the shard moves.
 func (dispatcher *Dispatcher) Await(ctx context.Context, id descriptor.JobID, wait time.Duration) (descriptor.JobStatus, error) {
 	end := time.Now().Add(wait)
-	return dispatcher.ask(ctx, wait+dispatcher.options.Patience, harmless, id,
+	return dispatcher.ask(ctx, wait+dispatcher.options.RetryTime, harmless, id,
 		func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 			return dispatcher.awaitLocal(ctx, owner, id, time.Until(end))
 		},
--- a/internal/entry/dispatcher/dispatcher.go
+++ b/internal/entry/dispatcher/dispatcher.go
@@ -21,10 +21,10 @@
 
 // Defaults of the retries while a shard changes its owner.
 const (
-	// DefaultPatience covers a planned handover and most of the takeover after a failure.
-	DefaultPatience = 8 * time.Second
-	retryPause      = 100 * time.Millisecond
-	retryAfter      = 2 * time.Second
+	// DefaultRetryTime covers a planned handover and most of the takeover after a failure.
+	DefaultRetryTime = 8 * time.Second
+	retryPause       = 100 * time.Millisecond
+	retryAfter       = 2 * time.Second
 )
 
 // Shard is one shard of the cell.
@@ -56,7 +56,7 @@
 	Region  string
 }
 
-// Options configures a Dispatcher. All fields have to be set but Patience.
+// Options configures a Dispatcher. All fields have to be set but RetryTime.
 type Options struct {
 	// Shards is the fixed list of the cell's shards. All instances have the same.
 	Shards []Shard
@@ -68,8 +68,8 @@
 	Client func(Location) (peerpb.PeerClient, error)
 	// Rank returns the shards that may run the job, best first.
 	Rank func(*descriptor.Job) []descriptor.ShardID
-	// Patience bounds how long a call waits for a shard to get an owner.
-	Patience time.Duration
+	// RetryTime bounds how long a call waits for a shard to get an owner.
+	RetryTime time.Duration
 	// Stopping is closed when a planned stop begins, which ends all waits for jobs; nil means never.
 	Stopping <-chan struct{}
 }
@@ -81,8 +81,8 @@
 
 // New returns a Dispatcher.
 func New(options Options) *Dispatcher {
-	if options.Patience == 0 {
-		options.Patience = DefaultPatience
+	if options.RetryTime == 0 {
+		options.RetryTime = DefaultRetryTime
 	}
 	return &Dispatcher{
 		options: options,
@@ -247,7 +247,7 @@
 
 // Status returns the state of a job, with its trail of decisions if explain is set.
 func (dispatcher *Dispatcher) Status(ctx context.Context, id descriptor.JobID, explain bool) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, dispatcher.options.Patience, harmless, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, dispatcher.options.RetryTime, harmless, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Status(ctx, id, explain)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Query(ctx, &peerpb.QueryRequest{
@@ -259,7 +259,7 @@
 
 // Cancel cancels a job. Cancelling twice is the same as once.
 func (dispatcher *Dispatcher) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
-	return dispatcher.ask(ctx, dispatcher.options.Patience, effective, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
+	return dispatcher.ask(ctx, dispatcher.options.RetryTime, effective, id, func(ctx context.Context, owner Owner) (descriptor.JobStatus, error) {
 		return owner.Cancel(ctx, id)
 	}, func(ctx context.Context, client peerpb.PeerClient) (*peerpb.QueryReply, error) {
 		return client.Cancel(ctx, &peerpb.QueryRequest{
@@ -268,7 +268,7 @@
 	})
 }
 
-func (dispatcher *Dispatcher) ask(ctx context.Context, patience time.Duration, effect effect, id descriptor.JobID,
+func (dispatcher *Dispatcher) ask(ctx context.Context, retryTime time.Duration, effect effect, id descriptor.JobID,
 	local func(context.Context, Owner) (descriptor.JobStatus, error),
 	remote func(context.Context, peerpb.PeerClient) (*peerpb.QueryReply, error),
 ) (descriptor.JobStatus, error) {
@@ -277,7 +277,7 @@
 		return descriptor.JobStatus{}, descriptor.NewProblem(descriptor.CodeNotFound, 0, "no job %q", id)
 	}
 	var result descriptor.JobStatus
-	err := dispatcher.retryFor(ctx, patience, effect, func(ctx context.Context) error {
+	err := dispatcher.retryFor(ctx, retryTime, effect, func(ctx context.Context) error {
 		if owner, ok := dispatcher.options.Local(shard); ok {
 			var err error
 			result, err = local(ctx, owner)
@@ -333,17 +333,17 @@
 	effective effect = true
 )
 
-// retry repeats call while the shard has no owner that answers, until the patience or ctx ends. An
+// retry repeats call while the shard has no owner that answers, until the retry time is over or ctx ends. An
 // owner that answers that it cannot take the work, as during an outage of the store, is believed at once.
 // All calls can be repeated.
 func (dispatcher *Dispatcher) retry(ctx context.Context, effect effect, call func(context.Context) error) error {
-	return dispatcher.retryFor(ctx, dispatcher.options.Patience, effect, call)
+	return dispatcher.retryFor(ctx, dispatcher.options.RetryTime, effect, call)
 }
 
 func (dispatcher *Dispatcher) retryFor(
-	ctx context.Context, patience time.Duration, effect effect, call func(context.Context) error,
+	ctx context.Context, retryTime time.Duration, effect effect, call func(context.Context) error,
 ) error {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, retryTime)
 	defer cancel()
 	uncertain := false
 	for {
--- a/internal/entry/dispatcher/dispatcher_test.go
+++ b/internal/entry/dispatcher/dispatcher_test.go
@@ -71,10 +71,10 @@
 
 func newDispatcher(owner *owner) *Dispatcher {
 	return New(Options{
-		Shards:   []Shard{{ID: "a-0"}},
-		Local:    func(descriptor.ShardID) (Owner, bool) { return owner, true },
-		Rank:     func(*descriptor.Job) []descriptor.ShardID { return []descriptor.ShardID{"a-0"} },
-		Patience: 3 * retryPause / 2,
+		Shards:    []Shard{{ID: "a-0"}},
+		Local:     func(descriptor.ShardID) (Owner, bool) { return owner, true },
+		Rank:      func(*descriptor.Job) []descriptor.ShardID { return []descriptor.ShardID{"a-0"} },
+		RetryTime: 3 * retryPause / 2,
 	})
 }
 
--- a/internal/placement/orderer/orderer.go
+++ b/internal/placement/orderer/orderer.go
@@ -28,7 +28,7 @@
 	// Estimate is the expected remaining run time of a task.
 	Estimate time.Duration
 	Arrival  time.Time
-	// Behind is when the job was put behind the others of its class, for the length of the patience;
+	// Behind is when the job was put behind the others of its class, for the aging time;
 	// zero if it was not. Its deadline does not count then.
 	Behind time.Time
 }
@@ -44,8 +44,8 @@
 
 // Defaults of an Orderer's options.
 const (
-	// DefaultPatience bounds how long jobs with no deadline or a missed one are passed over.
-	DefaultPatience = time.Hour
+	// DefaultAgingTime bounds how long jobs with no deadline or a missed one are passed over.
+	DefaultAgingTime = time.Hour
 	// DefaultLookAhead bounds the jobs passed over in each urgency class during one walk.
 	DefaultLookAhead = 64
 	// DefaultTeamLookAhead bounds them for each team, so that one team cannot use up the look-ahead.
@@ -74,8 +74,8 @@
 
 // Orderer is the waiting queue. The zero value is empty and uses the default options.
 type Orderer struct {
-	// Patience replaces DefaultPatience.
-	Patience time.Duration
+	// AgingTime replaces DefaultAgingTime.
+	AgingTime time.Duration
 	// LookAhead and TeamLookAhead replace the defaults of these names.
 	LookAhead, TeamLookAhead int
 	// MaxReservation replaces DefaultMaxReservation.
@@ -158,8 +158,8 @@
 }
 
 // behind reports whether the group gives way to all others of its class.
-func (one *group) behind(now time.Time, patience time.Duration) bool {
-	return !one.Behind.IsZero() && now.Before(one.Behind.Add(patience))
+func (one *group) behind(now time.Time, agingTime time.Duration) bool {
+	return !one.Behind.IsZero() && now.Before(one.Behind.Add(agingTime))
 }
 
 // Add queues tasks of a job. If the job is waiting already, its description is replaced and those of
@@ -187,12 +187,12 @@
 		sequence: orderer.sequence,
 	}
 	if entry.Deadline.IsZero() {
-		added.due = entry.Arrival.Add(orderer.patience())
+		added.due = entry.Arrival.Add(orderer.agingTime())
 		added.demoted = true
 	}
 	if !entry.Behind.IsZero() {
-		// Work without a deadline that arrives within the patience is due before.
-		added.due = entry.Behind.Add(2 * orderer.patience())
+		// Work without a deadline that arrives within the aging time is due before.
+		added.due = entry.Behind.Add(2 * orderer.agingTime())
 		added.demoted = true
 	}
 	orderer.jobs[entry.Job] = added
@@ -253,11 +253,11 @@
 	}
 }
 
-func (orderer *Orderer) patience() time.Duration {
-	if orderer.Patience > 0 {
-		return orderer.Patience
+func (orderer *Orderer) agingTime() time.Duration {
+	if orderer.AgingTime > 0 {
+		return orderer.AgingTime
 	}
-	return DefaultPatience
+	return DefaultAgingTime
 }
 
 func (orderer *Orderer) push(added *group) {
@@ -289,7 +289,7 @@
 // head returns the first group of a queue, or nil. A group whose deadline has passed gives way to the
 // others for a bounded time. Groups that seem too late by their estimate keep their place, because
 // estimates are often too long and giving way would make the miss certain.
-func (queue *queue) head(now time.Time, patience time.Duration) *group {
+func (queue *queue) head(now time.Time, agingTime time.Duration) *group {
 	for len(queue.groups) > 0 {
 		first := queue.groups[0]
 		switch {
@@ -298,7 +298,7 @@
 			queue.removed--
 		case !first.demoted && first.Deadline.Before(now):
 			first.demoted = true
-			first.due = now.Add(patience)
+			first.due = now.Add(agingTime)
 			heap.Fix(queue, 0)
 		default:
 			return first
--- a/internal/placement/orderer/orderer_test.go
+++ b/internal/placement/orderer/orderer_test.go
@@ -313,7 +313,7 @@
 		}
 	}
 	var queue orderer.Orderer
-	queue.Patience = time.Hour
+	queue.AgingTime = time.Hour
 	for _, team := range []string{"idle", "busy"} {
 		queue.SetTeam(team, descriptor.Resources{
 			MilliCPU: 1000,
@@ -335,6 +335,6 @@
 	queue.Add(behind, 0)
 	queue.Add(entry("own", "idle", 61*time.Minute), 0)
 	if got, _ := queue.Pop(begin.Add(62 * time.Minute)); got.Job != "behind" {
-		t.Errorf("%s goes first after the patience, want behind", got.Job)
+		t.Errorf("%s goes first after the aging time, want behind", got.Job)
 	}
 }
--- a/internal/placement/orderer/walk.go
+++ b/internal/placement/orderer/walk.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		head := team.queues[class].groups[0]
-		if head.behind(now, orderer.patience()) {
+		if head.behind(now, orderer.agingTime()) {
 			if last == nil || head.before(last) {
 				last = head
 			}
@@ -118,7 +118,7 @@
 // each other team to the top of its queue.
 func (orderer *Orderer) dropIdle(now time.Time, class int) {
 	orderer.active[class] = slices.DeleteFunc(orderer.active[class], func(team *team) bool {
-		team.listed[class] = team.queues[class].head(now, orderer.patience()) != nil
+		team.listed[class] = team.queues[class].head(now, orderer.agingTime()) != nil
 		return !team.listed[class]
 	})
 }
--- a/internal/request/queuer/lane.go
+++ b/internal/request/queuer/lane.go
@@ -69,12 +69,12 @@
 	return lane.classes[lane.rank()].peek()
 }
 
-// last returns the item that would be served last: the latest one of the greediest caller in the
+// last returns the item that would be served last: the latest one of the caller with the longest queue in the
 // least urgent class.
 func (lane *lane) last() *entry {
 	for _, class := range slices.Backward(lane.classes[:]) {
 		if class.length > 0 {
-			queue := class.greediest[0]
+			queue := class.longest[0]
 			return queue.entries[len(queue.entries)-1]
 		}
 	}
@@ -159,7 +159,7 @@
 	caller  string
 	class   *class
 	entries []*entry
-	// index is the place in class.greediest, or -1.
+	// index is the place in class.longest, or -1.
 	index int
 	// turning tells whether the queue is in class.turns.
 	turning bool
@@ -171,8 +171,8 @@
 	callers map[string]*callerQueue
 	// turns is the order in which callers are served next. It may contain empty queues.
 	turns []*callerQueue
-	// greediest is a heap with the longest queue first.
-	greediest greediest
+	// longest is a heap with the longest queue first.
+	longest longestFirst
 	// atLeast[n] counts the callers with more than n items. Its prefix sums tell how many items
 	// are served before the n-th of any caller.
 	atLeast []int
@@ -204,10 +204,10 @@
 		class.turns = append(class.turns, queue)
 	}
 	if queue.index < 0 {
-		heap.Push(&class.greediest, queue)
+		heap.Push(&class.longest, queue)
 		return
 	}
-	heap.Fix(&class.greediest, queue.index)
+	heap.Fix(&class.longest, queue.index)
 }
 
 func (class *class) remove(gone *entry) {
@@ -226,10 +226,10 @@
 	class.atLeast[len(queue.entries)]--
 	class.length--
 	if len(queue.entries) > 0 {
-		heap.Fix(&class.greediest, queue.index)
+		heap.Fix(&class.longest, queue.index)
 		return
 	}
-	heap.Remove(&class.greediest, queue.index)
+	heap.Remove(&class.longest, queue.index)
 	switch {
 	case class.length == 0:
 		// Empty queues that keep their turn would pile up when all items are cancelled.
@@ -285,36 +285,36 @@
 	return total
 }
 
-// greediest implements heap.Interface with the longest queue first.
-type greediest []*callerQueue
+// longestFirst implements heap.Interface with the longest queue first.
+type longestFirst []*callerQueue
 
-func (greediest greediest) Len() int { return len(greediest) }
+func (longestFirst longestFirst) Len() int { return len(longestFirst) }
 
-func (greediest greediest) Less(i, j int) bool {
-	a, b := greediest[i], greediest[j]
+func (longestFirst longestFirst) Less(i, j int) bool {
+	a, b := longestFirst[i], longestFirst[j]
 	if len(a.entries) != len(b.entries) {
 		return len(a.entries) > len(b.entries)
 	}
 	return a.caller < b.caller
 }
 
-func (greediest greediest) Swap(i, j int) {
-	greediest[i], greediest[j] = greediest[j], greediest[i]
-	greediest[i].index = i
-	greediest[j].index = j
+func (longestFirst longestFirst) Swap(i, j int) {
+	longestFirst[i], longestFirst[j] = longestFirst[j], longestFirst[i]
+	longestFirst[i].index = i
+	longestFirst[j].index = j
 }
 
-func (greediest *greediest) Push(queue any) {
+func (longestFirst *longestFirst) Push(queue any) {
 	added := queue.(*callerQueue)
-	added.index = len(*greediest)
-	*greediest = append(*greediest, added)
+	added.index = len(*longestFirst)
+	*longestFirst = append(*longestFirst, added)
 }
 
-func (greediest *greediest) Pop() any {
-	last := len(*greediest) - 1
-	gone := (*greediest)[last]
-	(*greediest)[last] = nil
-	*greediest = (*greediest)[:last]
+func (longestFirst *longestFirst) Pop() any {
+	last := len(*longestFirst) - 1
+	gone := (*longestFirst)[last]
+	(*longestFirst)[last] = nil
+	*longestFirst = (*longestFirst)[:last]
 	gone.index = -1
 	return gone
 }
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -48,7 +48,7 @@
 	ReasonLate Reason = "Late"
 	// ReasonFull means that too many items wait.
 	ReasonFull Reason = "Full"
-	// ReasonDisplaced means that the item's place was needed for more urgent work or a less greedy caller.
+	// ReasonDisplaced means that the item's place was needed for more urgent work or a caller with a shorter queue.
 	ReasonDisplaced Reason = "Displaced"
 	// ReasonNoSlots means that the lane has no slot at all.
 	ReasonNoSlots Reason = "NoSlots"
--- a/internal/shard/allocator/allocator.go
+++ b/internal/shard/allocator/allocator.go
@@ -90,8 +90,8 @@
 	workers map[descriptor.WorkerID]Worker
 	works   map[descriptor.JobID]*Work
 	// unreserved counts adopted runs for which their worker has no room by its declared sizes.
-	unreserved map[descriptor.RunID]descriptor.WorkerID
-	crowded    map[descriptor.WorkerID]int
+	unreserved      map[descriptor.RunID]descriptor.WorkerID
+	unreservedCount map[descriptor.WorkerID]int
 	// teams lists all teams that had work.
 	teams map[string]struct{}
 	// elsewhere is the use in other shards.
@@ -109,7 +109,7 @@
 	allocator.workers = map[descriptor.WorkerID]Worker{}
 	allocator.works = map[descriptor.JobID]*Work{}
 	allocator.unreserved = map[descriptor.RunID]descriptor.WorkerID{}
-	allocator.crowded = map[descriptor.WorkerID]int{}
+	allocator.unreservedCount = map[descriptor.WorkerID]int{}
 	allocator.preempted = map[descriptor.JobID]time.Time{}
 	allocator.teams = map[string]struct{}{}
 	allocator.failing = map[descriptor.WorkerID]struct{}{}
@@ -133,7 +133,7 @@
 	}
 	state := placer.InUse
 	switch {
-	case worker.Closed, allocator.crowded[id] > 0:
+	case worker.Closed, allocator.unreservedCount[id] > 0:
 		state = placer.Leaving
 	case allocator.detector.State(id) == detector.Quarantined:
 		state = placer.Quarantined
@@ -281,7 +281,7 @@
 		}
 	}
 	allocator.unreserved[run] = worker
-	allocator.crowded[worker]++
+	allocator.unreservedCount[worker]++
 	allocator.index(worker)
 }
 
@@ -309,7 +309,7 @@
 	allocator.orderer.Credit(work.Job.Team, work.Job.Task)
 	if worker, ok := allocator.unreserved[run]; ok {
 		delete(allocator.unreserved, run)
-		allocator.crowded[worker]--
+		allocator.unreservedCount[worker]--
 		allocator.index(worker)
 		return
 	}
--- a/internal/shard/allocator/record.go
+++ b/internal/shard/allocator/record.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	for id, worker := range allocator.workers {
-		open := !worker.Closed && allocator.crowded[id] == 0 && allocator.detector.State(id) == detector.InUse
+		open := !worker.Closed && allocator.unreservedCount[id] == 0 && allocator.detector.State(id) == detector.InUse
 		if open && allocator.need(work).Fits(worker.Capacity) && work.where.Matches(worker.Labels) && !allocator.barred(work, task, id) {
 			return true
 		}
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -40,11 +40,11 @@
 	workers   map[descriptor.WorkerID]*watcher.Worker
 	listed    bool
 
-	// crowd is set when something changed that may let waiting work start.
-	crowd bool
-	// woken lists workers that may be due for a message.
-	woken []*watcher.Worker
-	swept time.Time
+	// placementDue is set when something changed that may let waiting work start.
+	placementDue bool
+	// syncQueue lists workers that may be due for a message.
+	syncQueue []*watcher.Worker
+	swept     time.Time
 }
 
 // New returns a dispatcher that writes to outbox and reads durable.
@@ -77,7 +77,7 @@
 // SetAuthority tells what the owner may do from now on.
 func (dispatcher *Dispatcher) SetAuthority(authority signaler.Authority) {
 	dispatcher.authority = authority
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // Configure gives the configuration in force.
@@ -87,13 +87,13 @@
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.jobs)) {
 		dispatcher.treat(dispatcher.jobs[id])
 	}
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // SetElsewhere gives the use of teams in other shards.
 func (dispatcher *Dispatcher) SetElsewhere(teams map[string]descriptor.Resources) {
 	dispatcher.allocator.SetElsewhere(teams)
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // Estimates returns the learned sizes.
@@ -104,10 +104,10 @@
 // Place starts waiting work if something has changed since the last call.
 func (dispatcher *Dispatcher) Place(now time.Time) {
 	dispatcher.relieve(now)
-	if !dispatcher.crowd || !dispatcher.loaded || dispatcher.authority != signaler.AuthorityAct {
+	if !dispatcher.placementDue || !dispatcher.loaded || dispatcher.authority != signaler.AuthorityAct {
 		return
 	}
-	dispatcher.crowd = false
+	dispatcher.placementDue = false
 	dispatcher.place(now)
 }
 
@@ -167,7 +167,7 @@
 		return
 	}
 	dispatcher.allocator.Queue(job.Work, tasks...)
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // Cancel ends the waiting tasks of a job and stops the others.
@@ -203,7 +203,7 @@
 	for _, id := range slices.Sorted(maps.Keys(dispatcher.durable.Jobs)) {
 		dispatcher.revive(now, dispatcher.durable.Jobs[id])
 	}
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // revive rebuilds the live view of a job.
--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -71,7 +71,7 @@
 	if run.Reserved {
 		dispatcher.allocator.Release(run.Job.Work, run.ID)
 	}
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 	dispatcher.learn(now, run, result)
 	dispatcher.conclude(now, run.Job, worker, result)
 }
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -28,7 +28,7 @@
 		dispatcher.swept = now
 		dispatcher.sweep(now)
 	}
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 func (dispatcher *Dispatcher) tickWorker(now time.Time, worker *watcher.Worker) {
@@ -49,7 +49,7 @@
 		delete(dispatcher.workers, worker.ID)
 		dispatcher.allocator.RemoveWorker(worker.ID)
 		dispatcher.recoverer.Forget(worker.ID)
-		dispatcher.crowd = true
+		dispatcher.placementDue = true
 	}
 }
 
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -34,7 +34,7 @@
 
 func (dispatcher *Dispatcher) due(worker *watcher.Worker) {
 	worker.Urgent = true
-	dispatcher.woken = append(dispatcher.woken, worker)
+	dispatcher.syncQueue = append(dispatcher.syncQueue, worker)
 }
 
 // SetInstances gives the workers that the platform lists.
@@ -56,7 +56,7 @@
 	for _, worker := range dispatcher.sortedWorkers() {
 		dispatcher.describe(worker)
 	}
-	dispatcher.crowd = true
+	dispatcher.placementDue = true
 }
 
 // describe tells the allocator of a worker's present state.
@@ -90,13 +90,13 @@
 		// The epoch is not known yet.
 		return
 	}
-	woken := dispatcher.woken
-	dispatcher.woken = nil
-	for _, worker := range woken {
+	syncQueue := dispatcher.syncQueue
+	dispatcher.syncQueue = nil
+	for _, worker := range syncQueue {
 		switch {
 		case !worker.Urgent || worker.InFlight || !worker.Address.IsValid():
 		case now.Sub(worker.Asked) < minGap:
-			dispatcher.woken = append(dispatcher.woken, worker)
+			dispatcher.syncQueue = append(dispatcher.syncQueue, worker)
 		default:
 			dispatcher.sync(now, worker)
 		}
@@ -199,7 +199,7 @@
 	dispatcher.compare(now, worker, reply)
 	worker.Plan(now, len(worker.Runs) < before)
 	dispatcher.describe(worker)
-	dispatcher.crowd = dispatcher.crowd || opened
+	dispatcher.placementDue = dispatcher.placementDue || opened
 	if again || worker.Urgent {
 		dispatcher.wake(worker)
 	}
--- a/internal/shard/manager/manager.go
+++ b/internal/shard/manager/manager.go
@@ -175,11 +175,11 @@
 		manager.orphaned[shard.ID] = now
 	}
 	rank := rankOf(manager.options.Self, manager.options.View.Candidates(shard.ID, shard.Region))
-	patience := time.Duration(rank) * manager.options.OrphanAfter
+	delay := time.Duration(rank) * manager.options.OrphanAfter
 	if shard.Region != manager.options.Region {
-		patience += manager.options.ForeignAfter
+		delay += manager.options.ForeignAfter
 	}
-	if rank < 0 || now.Sub(since) < patience {
+	if rank < 0 || now.Sub(since) < delay {
 		return
 	}
 	manager.take(ctx, now, shard.ID)
--- a/internal/shard/throttler/throttler.go
+++ b/internal/shard/throttler/throttler.go
@@ -31,10 +31,10 @@
 const (
 	// fullPercent is the part of a worker's memory from which runs beyond their declared size give way.
 	fullPercent = 95
-	// throttlePatience is how long the effect of throttling a run may take to show: a measurement is
+	// throttleSettleTime is how long the effect of throttling a run may take to show: a measurement is
 	// some seconds old, and a worker is asked every two seconds. The time of the measurement does not
 	// tell, because reports leave out a use that has not changed.
-	throttlePatience = 6 * time.Second
+	throttleSettleTime = 6 * time.Second
 )
 
 // Excess is the memory that a run uses beyond its declared size, by its latest report.
@@ -91,7 +91,7 @@
 
 // shrinking reports whether the effect of throttling a run can't be seen in its reports yet.
 func shrinking(now time.Time, run *arbiter.Run) bool {
-	return !run.Throttled.IsZero() && now.Before(run.Throttled.Add(throttlePatience))
+	return !run.Throttled.IsZero() && now.Before(run.Throttled.Add(throttleSettleTime))
 }
 
 func candidate(now time.Time, run *arbiter.Run) bool {
