--- a/internal/measure/imitator/imitator.go
+++ b/internal/measure/imitator/imitator.go
@@ -83,7 +83,6 @@
 		Workers: instances,
 	})
 	// The first message to a worker only asks.
-	const settling = 3 * time.Second
 	imitator.Advance(settling)
 	return imitator
 }
