--- a/internal/measure/sampler/cell.go
+++ b/internal/measure/sampler/cell.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/client/caller"
+	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/standin/keeper"
@@ -32,8 +33,9 @@
 	Directory string
 	// Shards is the number of shards of the site.
 	Shards int
+	// Keeper is the store. Open starts one unless it is set.
+	Keeper *keeper.Keeper
 
-	Keeper    *keeper.Keeper
 	Workers   []*worker.Worker
 	Processes []*Process
 	stops     []func()
@@ -49,33 +51,11 @@
 
 // Open starts the store and the workers.
 func (cell *Cell) Open(workers int) error {
-	store, stop, err := keeper.Start(keeper.Options{
-		Address: loopback,
-	})
-	if err != nil {
-		return errors.Wrap(err, "sampler: store")
+	if err := cell.openStore(); err != nil {
+		return err
 	}
-	cell.Keeper = store
-	cell.stops = append(cell.stops, stop)
 	for i := range workers {
-		started, stop, err := worker.Start(worker.Options{
-			ID:      descriptor.WorkerID(fmt.Sprintf("%s-worker-%04d", site, i)),
-			Address: loopback,
-			Place: descriptor.Place{
-				Region: region,
-				Site:   site,
-				Rack:   fmt.Sprintf("%s-rack-%03d", site, i/perRack),
-			},
-			Labels: descriptor.Labels{
-				"Disk":  "Fast",
-				"Class": "Large",
-			},
-			Capacity: descriptor.Resources{
-				MilliCPU:    64_000,
-				MemoryBytes: 256 << 30,
-			},
-			Lists: []netip.AddrPort{store.Address()},
-		})
+		started, stop, err := worker.Start(cell.workerOptions(i))
 		if err != nil {
 			return errors.Wrap(err, "sampler: worker")
 		}
@@ -85,6 +65,39 @@
 	return nil
 }
 
+func (cell *Cell) openStore() error {
+	if cell.Keeper != nil {
+		return nil
+	}
+	store, stop, err := keeper.Start(keeper.Options{
+		Address: loopback,
+	})
+	if err != nil {
+		return errors.Wrap(err, "sampler: store")
+	}
+	cell.Keeper = store
+	cell.stops = append(cell.stops, stop)
+	return nil
+}
+
+func (cell *Cell) workerOptions(index int) worker.Options {
+	return worker.Options{
+		ID:      descriptor.WorkerID(fmt.Sprintf("%s-worker-%04d", site, index)),
+		Address: loopback,
+		Place: descriptor.Place{
+			Region: region,
+			Site:   site,
+			Rack:   fmt.Sprintf("%s-rack-%03d", site, index/perRack),
+		},
+		Labels: descriptor.Labels{
+			"Disk":  "Fast",
+			"Class": "Large",
+		},
+		Capacity: imitator.Capacity,
+		Lists:    []netip.AddrPort{cell.Keeper.Address()},
+	}
+}
+
 // Service is that of the runners.
 const Service = "lending-desk"
 
@@ -111,14 +124,20 @@
 	return nil
 }
 
-// StartEntry starts one more entry instance, which the list names.
-func (cell *Cell) StartEntry() (*Process, error) {
+// settings returns those of the next entry instance.
+func (cell *Cell) settings() loader.Settings {
 	settings := loader.Defaults()
 	settings.ID = fmt.Sprintf("%s-entry-%02d", site, len(cell.Processes))
 	settings.Region, settings.Site = region, site
 	settings.HTTP, settings.Peer = loopback, loopback
 	settings.Store = []netip.AddrPort{cell.Keeper.Address()}
 	settings.List = cell.Keeper.Address()
+	return settings
+}
+
+// StartEntry starts one more entry instance, which the list names.
+func (cell *Cell) StartEntry() (*Process, error) {
+	settings := cell.settings()
 	settings.Shards = []loader.SiteShards{
 		{
 			Region: region,
@@ -157,30 +176,6 @@
 	}
 }
 
-// Job returns a job of equal tasks.
-func Job(key string, tasks int, runTime time.Duration) descriptor.Job {
-	return descriptor.Job{
-		Name:   "melt-lot-assay",
-		Caller: "foreman",
-		Team:   "assay",
-		Key:    key,
-		Kind:   descriptor.KindBatch,
-		Labels: descriptor.Labels{
-			"Work": "Assay",
-		},
-		Tasks: tasks,
-		Task: descriptor.Resources{
-			MilliCPU:    1000,
-			MemoryBytes: 1 << 30,
-		},
-		RunTime: descriptor.Duration{
-			Duration: runTime,
-		},
-		Idempotent: true,
-		Payload:    fmt.Sprintf(`{"RunTime":%q}`, runTime),
-	}
-}
-
 // Running returns the number of tasks in progress on all workers.
 func (cell *Cell) Running() int {
 	running := 0
@@ -199,7 +194,7 @@
 	const perJob = 100
 	client := cell.Client()
 	for begun := 0; begun < tasks; begun += perJob {
-		job := Job(fmt.Sprint("fill-", begun), min(perJob, tasks-begun), time.Hour)
+		job := imitator.Job(fmt.Sprint("fill-", begun), min(perJob, tasks-begun), time.Hour)
 		if _, _, err := client.Submit(ctx, job); err != nil {
 			return errors.Wrap(err, "sampler: submit")
 		}
--- a/internal/measure/sampler/sampler.go
+++ b/internal/measure/sampler/sampler.go
@@ -125,12 +125,3 @@
 func (process *Process) Sample() (Sample, error) {
 	return Read(process.command.Process.Pid)
 }
-
-// Own returns the processor time that this process used so far, in the program and in the system.
-func Own() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
