measure: print the slopes of all costs in one table

Cause: the slopes of docs/CAPACITY.md came from seven commands and were fitted by hand.

Change: the subcommand slopes carries out the same trials without the testing package and fits a line for each factor over the trials that differ in it only. Sizes state their factors, which are also the names of the benchmarks. The table of the deployments stays the default.

Conclusion: one run shows all slopes; processor times need the medians of several runs as before.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,4 +1,4 @@
-// Command measure prints the measures of both deployments against baselines.
+// Command measure prints the measures of both deployments against baselines, or the slopes of all costs.
 package main
 
 import (
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -18,11 +19,17 @@
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/local/reporter"
 	"pomelomoor/internal/measure/comparer"
+	"pomelomoor/internal/measure/tabulator"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/platform/sender"
 )
 
 type command struct {
+	Table  tableCommand  `cmd:"" default:"withargs" help:"Measures of both deployments against baselines, from one seed."`
+	Slopes slopesCommand `cmd:"" help:"What each cost grows by with each size, as in docs/CAPACITY.md."`
+}
+
+type tableCommand struct {
 	Seed     uint64 `default:"1" help:"Seed of all random choices."`
 	Output   string `default:"table" enum:"table,json" help:"Format: table or json."`
 	Live     bool   `default:"true" negatable:"" help:"Also run each deployment with all processes in this one, which takes most of a minute each."`
@@ -35,14 +42,14 @@
 	var command command
 	parsed := kong.Parse(&command,
 		kong.Name("measure"),
-		kong.Description("Measures of both deployments against baselines, from one seed."),
+		kong.Description("Measures of the deployments and of what the system costs."),
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
 	parsed.FatalIfErrorf(parsed.Run())
 }
 
 // Run measures the deployments one after the other.
-func (command *command) Run(ctx context.Context) error {
+func (command *tableCommand) Run(ctx context.Context) error {
 	var rows []comparer.Row
 	for _, deployment := range comparer.Deployments() {
 		if command.Live {
@@ -65,7 +72,7 @@
 }
 
 // run carries out a local run of a deployment's file with the seed.
-func (command *command) run(ctx context.Context, name string) (reporter.Report, error) {
+func (command *tableCommand) run(ctx context.Context, name string) (reporter.Report, error) {
 	document, err := os.ReadFile(filepath.Join(command.Examples, strings.ToLower(name)+".json"))
 	if err != nil {
 		return reporter.Report{}, err
@@ -82,6 +89,23 @@
 	})
 }
 
+type slopesCommand struct {
+	Only string `default:"." help:"Regular expression of the subjects to measure."`
+}
+
+// Run measures the subjects one after the other.
+func (command *slopesCommand) Run(ctx context.Context) error {
+	only, err := regexp.Compile(command.Only)
+	if err != nil {
+		return err
+	}
+	slopes, err := tabulator.MeasureAll(ctx, only)
+	if err != nil {
+		return err
+	}
+	return tabulator.WriteTable(os.Stdout, slopes)
+}
+
 func build(settings loader.Settings, dial sender.DialFunc, log *slog.Logger) (launcher.Instance, func(), error) {
 	return assembler.New(assembler.Options{
 		Settings: settings,
--- a/internal/measure/archiver/archiver.go
+++ b/internal/measure/archiver/archiver.go
@@ -145,8 +145,17 @@
 	return state
 }
 
-func (state state) String() string {
-	return fmt.Sprintf("Tasks%d/Ended%d/Keys%d", state.tasks, state.ended, state.keys)
+// Factors returns the numbers of tasks, ended jobs and keys. All states have as many keys for each ended job.
+func (state state) Factors() profiler.Factors {
+	return profiler.Factors{
+		profiler.NewFactor("Tasks", state.tasks),
+		profiler.NewFactor("Ended", state.ended),
+		{
+			Name:      "Keys",
+			Value:     state.keys,
+			Dependent: true,
+		},
+	}
 }
 
 // job returns a job of ten tasks of an hour.
--- a/internal/measure/archiver/config.go
+++ b/internal/measure/archiver/config.go
@@ -36,8 +36,12 @@
 	instances int
 }
 
-func (audience audience) String() string {
-	return fmt.Sprintf("Policies%d/Instances%d", audience.policies, audience.instances)
+// Factors returns both numbers.
+func (audience audience) Factors() profiler.Factors {
+	return profiler.Factors{
+		profiler.NewFactor("Policies", audience.policies),
+		profiler.NewFactor("Instances", audience.instances),
+	}
 }
 
 // Apply applies configurations and waits until all instances have them in force, each by its own watch.
@@ -141,7 +145,7 @@
 
 // List reads the whole list of instances, as each entry instance does after each change.
 func List() []profiler.Trial {
-	return profiler.Sweep(list, 350, 700, 1400, 2800)
+	return profiler.SweepCounts(list, 350, 700, 1400, 2800)
 }
 
 func list(meter profiler.Meter, instances int) error {
--- a/internal/measure/archiver/journal.go
+++ b/internal/measure/archiver/journal.go
@@ -25,7 +25,7 @@
 
 // Append writes batches of intents. The processor time includes the stand-in of the store.
 func Append() []profiler.Trial {
-	return profiler.Sweep(appendRecords, 1, 4, 16, 64)
+	return profiler.SweepCounts(appendRecords, 1, 4, 16, 64)
 }
 
 func appendRecords(meter profiler.Meter, count int) error {
--- a/internal/measure/imitator/trials.go
+++ b/internal/measure/imitator/trials.go
@@ -163,7 +163,7 @@
 
 // Workers observes a shard whose workers run nothing.
 func Workers() []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, workers int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, workers int) error {
 		imitator, err := shardOf(workers)
 		if err != nil {
 			return err
@@ -176,7 +176,7 @@
 
 // stateTrials observe a shard of 140 workers after a preparation, and its snapshot.
 func stateTrials(prepare func(imitator *Imitator, size int) error, sizes ...int) []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, size int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, size int) error {
 		imitator, err := shardOf(siteWorkers)
 		if err != nil {
 			return err
@@ -232,7 +232,7 @@
 
 // Starts observes a shard of 140 workers and 3400 running tasks while tasks start and as many end.
 func Starts() []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, starts int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, starts int) error {
 		imitator, err := shardOf(siteWorkers)
 		if err != nil {
 			return err
@@ -258,7 +258,7 @@
 
 // Waiting observes a full shard of 140 workers while jobs wait that no worker has room for.
 func Waiting() []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, jobs int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, jobs int) error {
 		imitator, err := shardOf(siteWorkers)
 		if err != nil {
 			return err
--- a/internal/measure/prober/prober.go
+++ b/internal/measure/prober/prober.go
@@ -35,8 +35,13 @@
 	teams   int
 }
 
-func (view view) String() string {
-	return fmt.Sprintf("Members%d/Shards%d/Teams%d", view.members, view.shards, view.teams)
+// Factors returns the numbers of members, of shards of each, and of teams in each shard.
+func (view view) Factors() profiler.Factors {
+	return profiler.Factors{
+		profiler.NewFactor("Members", view.members),
+		profiler.NewFactor("Shards", view.shards),
+		profiler.NewFactor("Teams", view.teams),
+	}
 }
 
 // build returns the view's message.
@@ -213,7 +218,7 @@
 
 // View measures what each tick of an instance costs: its due exchanges and the owners of all shards.
 func View() []profiler.Trial {
-	return profiler.Sweep(tick, 8, 16, 32, 64)
+	return profiler.SweepCounts(tick, 8, 16, 32, 64)
 }
 
 func tick(meter profiler.Meter, members int) error {
--- a/internal/measure/prober/sync.go
+++ b/internal/measure/prober/sync.go
@@ -1,7 +1,6 @@
 package prober
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,11 +17,18 @@
 	changes bool
 }
 
-func (renewal renewal) String() string {
+// Factors returns the number of tasks, named after the kind of report.
+func (renewal renewal) Factors() profiler.Factors {
+	name := "Whole/"
 	if renewal.changes {
-		return fmt.Sprint("Changes/", renewal.tasks)
+		name = "Changes/"
+	}
+	return profiler.Factors{
+		{
+			Name:  name,
+			Value: renewal.tasks,
+		},
 	}
-	return fmt.Sprint("Whole/", renewal.tasks)
 }
 
 // Sync renews the leases of running tasks over one kept connection. The processor time is of both sides.
--- a/internal/measure/profiler/profiler.go
+++ b/internal/measure/profiler/profiler.go
@@ -3,8 +3,9 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -21,7 +22,9 @@
 
 // Trial is the measurement of one size.
 type Trial struct {
-	Name    string
+	Name string
+	// Factors are what Name is made of, or none.
+	Factors Factors
 	Measure func(meter Meter) error
 }
 
@@ -33,12 +36,59 @@
 	Trials []Trial
 }
 
-// Sweep returns a trial for each size, named after it.
-func Sweep[Size any](measure func(meter Meter, size Size) error, sizes ...Size) []Trial {
+// Factor is one amount of a size.
+type Factor struct {
+	// Name is empty where the measured subject says what is counted.
+	Name  string
+	Value int
+	// Dependent says that the factor varies with another one, which has the slope of both.
+	Dependent bool
+}
+
+// NewFactor returns a factor that depends on no other.
+func NewFactor(name string, value int) Factor {
+	return Factor{
+		Name:  name,
+		Value: value,
+	}
+}
+
+// Factors are a size.
+type Factors []Factor
+
+func (factors Factors) String() string {
+	parts := make([]string, 0, len(factors))
+	for _, factor := range factors {
+		parts = append(parts, factor.Name+strconv.Itoa(factor.Value))
+	}
+	return strings.Join(parts, "/")
+}
+
+// Sized is a size of several factors.
+type Sized interface {
+	Factors() Factors
+}
+
+// Count is a size of one factor.
+type Count int
+
+// Factors returns the count.
+func (count Count) Factors() Factors {
+	return Factors{
+		{
+			Value: int(count),
+		},
+	}
+}
+
+// Sweep returns a trial for each size, named after its factors.
+func Sweep[Size Sized](measure func(meter Meter, size Size) error, sizes ...Size) []Trial {
 	trials := make([]Trial, 0, len(sizes))
 	for _, size := range sizes {
+		factors := size.Factors()
 		trials = append(trials, Trial{
-			Name: fmt.Sprint(size),
+			Name:    factors.String(),
+			Factors: factors,
 			Measure: func(meter Meter) error {
 				return measure(meter, size)
 			},
@@ -47,6 +97,17 @@
 	return trials
 }
 
+// SweepCounts is a sweep of sizes of one factor.
+func SweepCounts(measure func(meter Meter, size int) error, sizes ...int) []Trial {
+	counts := make([]Count, 0, len(sizes))
+	for _, size := range sizes {
+		counts = append(counts, Count(size))
+	}
+	return Sweep(func(meter Meter, count Count) error {
+		return measure(meter, int(count))
+	}, counts...)
+}
+
 // Metric is a measured value.
 type Metric struct {
 	Value float64
@@ -64,7 +125,7 @@
 	counter := &counter{
 		ctx:       ctx,
 		directory: directory,
-		left:      rounds,
+		rounds:    rounds,
 	}
 	defer counter.close()
 	// As with a benchmark, the context ends before what was set up is cleaned up.
@@ -72,16 +133,21 @@
 	if err := trial.Measure(counter); err != nil {
 		return nil, err
 	}
-	return counter.metrics, nil
+	return counter.all(), nil
 }
 
 // counter is a meter with a fixed number of rounds.
 type counter struct {
 	ctx       context.Context
 	directory string
-	left      int
+	rounds    int
 	cleanups  []func()
 	metrics   []Metric
+	// done is the number of rounds begun before, and elapsed the time from the first to after the last.
+	done    int
+	begin   time.Time
+	elapsed time.Duration
+	hidden  bool
 }
 
 func (counter *counter) Context() context.Context {
@@ -97,13 +163,20 @@
 }
 
 func (counter *counter) Loop() bool {
-	counter.left--
-	return counter.left >= 0
+	if counter.done == 0 {
+		counter.begin = time.Now()
+	}
+	if counter.done < counter.rounds {
+		counter.done++
+		return true
+	}
+	counter.elapsed = time.Since(counter.begin)
+	return false
 }
 
 func (counter *counter) ReportMetric(value float64, unit string) {
-	// Measurements report no time for each round to hide that of a benchmark.
 	if unit == HiddenUnit {
+		counter.hidden = true
 		return
 	}
 	counter.metrics = append(counter.metrics, Metric{
@@ -112,13 +185,24 @@
 	})
 }
 
+// all returns the metrics with the time of a round, as a benchmark does.
+func (counter *counter) all() []Metric {
+	if counter.hidden || counter.done == 0 {
+		return counter.metrics
+	}
+	return append(counter.metrics, Metric{
+		Value: float64(counter.elapsed.Nanoseconds()) / float64(counter.done),
+		Unit:  HiddenUnit,
+	})
+}
+
 func (counter *counter) close() {
 	for i := len(counter.cleanups) - 1; i >= 0; i-- {
 		counter.cleanups[i]()
 	}
 }
 
-// HiddenUnit is the unit that a benchmark reports by itself and leaves out when it is set to 0.
+// HiddenUnit is that of the time of a round, which is left out when a measurement reports 0 for it.
 const HiddenUnit = "ns/op"
 
 // Own returns the processor time that this process used so far, in the program and in the system.
--- a/internal/measure/sampler/trials.go
+++ b/internal/measure/sampler/trials.go
@@ -82,8 +82,13 @@
 	starts int
 }
 
-func (load load) String() string {
-	return fmt.Sprintf("Workers%d/Tasks%d/Starts%d", load.workers, load.tasks, load.starts)
+// Factors returns the numbers of workers, of tasks on each, and of starts a second.
+func (load load) Factors() profiler.Factors {
+	return profiler.Factors{
+		profiler.NewFactor("Workers", load.workers),
+		profiler.NewFactor("Tasks", load.tasks),
+		profiler.NewFactor("Starts", load.starts),
+	}
 }
 
 // Entry observes an entry instance as a process of its own, with one shard of workers.
@@ -164,7 +169,7 @@
 
 // Requests observes an entry instance that forwards interactive requests of 5 ms to 50 runners.
 func Requests(program string) []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, rate int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, rate int) error {
 		return observeRequests(meter, program, rate)
 	}, 50, 100, 200, 400)
 }
@@ -252,7 +257,7 @@
 
 // Region observes one of several idle entry instances of a region with ten shards without workers.
 func Region(program string) []profiler.Trial {
-	return profiler.Sweep(func(meter profiler.Meter, instances int) error {
+	return profiler.SweepCounts(func(meter profiler.Meter, instances int) error {
 		const settling = 10 * time.Second
 		cell := &Cell{
 			Program:   program,
