--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -37,8 +37,7 @@
 	allocator allocator.Allocator
 	throttler throttler.Throttler
 	jobs      map[descriptor.JobID]*arbiter.Job
-	workers   map[descriptor.WorkerID]*watcher.Worker
-	listed    bool
+	fleet     watcher.Fleet
 
 	// placementDue is set when something changed that may let waiting work start.
 	placementDue bool
@@ -55,7 +54,6 @@
 		durable: durable,
 		config:  &parser.Compiled{},
 		jobs:    map[descriptor.JobID]*arbiter.Job{},
-		workers: map[descriptor.WorkerID]*watcher.Worker{},
 	}
 }
 
@@ -119,12 +117,12 @@
 	if err != nil {
 		return nil, "", err
 	}
-	if dispatcher.complete() {
+	if dispatcher.fleet.Complete() {
 		if reason := dispatcher.allocator.Impossible(now, work); reason != "" {
 			return nil, reason, nil
 		}
 	}
-	return arbiter.New(work, !dispatcher.complete()), "", nil
+	return arbiter.New(work, !dispatcher.fleet.Complete()), "", nil
 }
 
 // Add queues the tasks of an accepted job.
--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -35,7 +35,7 @@
 	task := run.Task()
 	task.State, task.Run, task.Worker = arbiter.TaskLive, run, run.Worker
 	run.Job.Work.Attempts[run.ID.Task] = run.ID.Attempt
-	dispatcher.worker(run.Worker).Runs[run.ID] = run
+	dispatcher.fleet.Worker(run.Worker).Runs[run.ID] = run
 }
 
 // stop ends a run. One whose start was never sent ends at once.
@@ -48,7 +48,7 @@
 		return
 	}
 	run.Stop = true
-	dispatcher.wake(dispatcher.worker(run.Worker))
+	dispatcher.wake(dispatcher.fleet.Worker(run.Worker))
 }
 
 // end records the end of a run and decides what becomes of its task.
@@ -66,7 +66,7 @@
 		// The start was reported before the run was lost. A new owner learns of it from the record only.
 		result.Started = run.Since
 	}
-	worker := dispatcher.worker(run.Worker)
+	worker := dispatcher.fleet.Worker(run.Worker)
 	delete(worker.Runs, run.ID)
 	if run.Reserved {
 		dispatcher.allocator.Release(run.Job.Work, run.ID)
--- a/internal/shard/dispatcher/sweep.go
+++ b/internal/shard/dispatcher/sweep.go
@@ -21,7 +21,7 @@
 		return
 	}
 	dispatcher.allocator.Tick(now)
-	for _, worker := range dispatcher.sortedWorkers() {
+	for _, worker := range dispatcher.fleet.Sorted() {
 		dispatcher.tickWorker(now, worker)
 	}
 	if now.Sub(dispatcher.swept) >= sweepInterval {
@@ -44,9 +44,9 @@
 			dispatcher.giveUp(now, run)
 		}
 	}
-	unused := !worker.Listed && dispatcher.listed && len(worker.Runs) == 0 && !worker.InFlight
+	unused := !worker.Listed && dispatcher.fleet.Listed && len(worker.Runs) == 0 && !worker.InFlight
 	if unused && (silent || len(worker.Ends) == 0) {
-		delete(dispatcher.workers, worker.ID)
+		dispatcher.fleet.Forget(worker.ID)
 		dispatcher.allocator.RemoveWorker(worker.ID)
 		dispatcher.recoverer.Forget(worker.ID)
 		dispatcher.placementDue = true
@@ -79,7 +79,7 @@
 			job.Resume = time.Time{}
 			dispatcher.queueAll(job)
 		}
-		if job.Unchecked && dispatcher.complete() {
+		if job.Unchecked && dispatcher.fleet.Complete() {
 			dispatcher.checkPossible(now, job)
 		}
 		deadline := job.Description().Deadline
@@ -156,7 +156,7 @@
 	run.Checkpoint = true
 	job.Work.Behind = now
 	dispatcher.note(now, job, "Displaced", "task %d is checkpointed and waits behind shorter work, such as job %s", id.Task, by)
-	dispatcher.wake(dispatcher.worker(run.Worker))
+	dispatcher.wake(dispatcher.fleet.Worker(run.Worker))
 }
 
 // place starts what fits and names work to preempt.
@@ -165,7 +165,7 @@
 	for _, placement := range result.Placements {
 		job := dispatcher.jobs[placement.Work.ID]
 		job.Reason = ""
-		dispatcher.begin(now, job, placement.Run, dispatcher.workers[placement.Worker])
+		dispatcher.begin(now, job, placement.Run, dispatcher.fleet.Worker(placement.Worker))
 	}
 	for _, refusal := range result.Refusals {
 		job := dispatcher.jobs[refusal.Job]
@@ -189,13 +189,5 @@
 	}
 	run.Checkpoint = true
 	dispatcher.note(now, job, "Preempted", "task %d is checkpointed to make room for job %s", id.Task, by)
-	dispatcher.wake(dispatcher.worker(run.Worker))
-}
-
-func (dispatcher *Dispatcher) sortedWorkers() []*watcher.Worker {
-	sorted := make([]*watcher.Worker, 0, len(dispatcher.workers))
-	for _, id := range slices.Sorted(maps.Keys(dispatcher.workers)) {
-		sorted = append(sorted, dispatcher.workers[id])
-	}
-	return sorted
+	dispatcher.wake(dispatcher.fleet.Worker(run.Worker))
 }
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
@@ -14,15 +13,6 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
-func (dispatcher *Dispatcher) worker(id descriptor.WorkerID) *watcher.Worker {
-	found, ok := dispatcher.workers[id]
-	if !ok {
-		found = watcher.New(id)
-		dispatcher.workers[id] = found
-	}
-	return found
-}
-
 // wake asks for a message to the worker as soon as possible. While nothing but leases may be renewed,
 // the interval is enough.
 func (dispatcher *Dispatcher) wake(worker *watcher.Worker) {
@@ -39,21 +29,14 @@
 
 // SetInstances gives the workers that the platform lists.
 func (dispatcher *Dispatcher) SetInstances(now time.Time, event signaler.InstancesChanged) {
-	dispatcher.listed = true
-	for _, worker := range dispatcher.workers {
-		worker.Listed = false
-	}
-	ids := make([]descriptor.WorkerID, 0, len(event.Workers))
-	for _, instance := range event.Workers {
-		worker := dispatcher.worker(descriptor.WorkerID(instance.ID))
-		worker.Address = instance.Address
-		worker.Listed = true
-		worker.Leaving = instance.State == lister.StateLeaving
+	listed := dispatcher.fleet.SetListed(event.Workers)
+	ids := make([]descriptor.WorkerID, 0, len(listed))
+	for _, worker := range listed {
 		ids = append(ids, worker.ID)
 		dispatcher.wake(worker)
 	}
 	dispatcher.recoverer.SetListed(now, ids)
-	for _, worker := range dispatcher.sortedWorkers() {
+	for _, worker := range dispatcher.fleet.Sorted() {
 		dispatcher.describe(worker)
 	}
 	dispatcher.placementDue = true
@@ -67,20 +50,6 @@
 	dispatcher.allocator.SetWorker(worker.Describe())
 }
 
-// complete reports whether all listed workers have told what they can hold.
-func (dispatcher *Dispatcher) complete() bool {
-	listed := 0
-	for _, worker := range dispatcher.workers {
-		if worker.Listed {
-			listed++
-		}
-		if worker.Listed && !worker.Reported {
-			return false
-		}
-	}
-	return dispatcher.listed && listed > 0
-}
-
 // minGap bounds the rate of messages to a worker whose reports ask for another one again and again.
 const minGap = 10 * time.Millisecond
 
@@ -148,7 +117,7 @@
 
 // Unanswered takes a message without an answer into account.
 func (dispatcher *Dispatcher) Unanswered(now time.Time, event signaler.Unanswered) {
-	worker, ok := dispatcher.workers[event.Worker]
+	worker, ok := dispatcher.fleet.Known(event.Worker)
 	if !ok {
 		return
 	}
@@ -168,7 +137,7 @@
 
 // Reported takes the report of a worker into account.
 func (dispatcher *Dispatcher) Reported(now time.Time, event signaler.Reported) {
-	worker, ok := dispatcher.workers[event.Worker]
+	worker, ok := dispatcher.fleet.Known(event.Worker)
 	if !ok {
 		return
 	}
