Close connections to replaced instances; mend what stood twice

Cause: reading the whole change again. messenger.Forget was never called, so the connection to each replaced instance stayed for the life of the process. Counts were published on every tick of the membership view, five times a second. The stand-ins' delay and the driver's commands stood two and three times. Change: connections are forgotten when the instance list changes; a component of its own publishes counts at the interval of the metrics; server.Delay and Driver.command serve all places. No answer or check changed. Ruled out: closing connections in use, since live and silent listed members are kept. No test covers the closing itself.

--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -433,6 +433,7 @@
 	members := entry.supervisor.Child("Members")
 	members.Add("Messenger", entry.messenger.Serve)
 	members.Add("Exchange", entry.exchanger.Serve)
+	members.Add("Metrics", entry.serveMetrics)
 	work := entry.supervisor.Child("Work")
 	work.Add("Shards", entry.manager.Serve)
 	work.Add("API", entry.serveHTTP)
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -50,6 +51,7 @@
 func (entry *Entry) listChanged(list lister.List) {
 	entry.forwarder.SetInstances(list)
 	entry.hoster.SetInstances(list)
+	entry.forgetConnections()
 }
 
 // viewChanged gives the parts that depend on the members their share.
@@ -78,7 +80,6 @@
 	entry.limiter.SetLimit(manager.WriteShare(entry.id, entry.settings.Limits.StoreWrites, live))
 	entry.hoster.SetElsewhere()
 	entry.updateReady(len(live))
-	entry.observe()
 }
 
 // updateReady makes the instance ready once it knows the configuration in force: from the store, or
@@ -211,6 +212,34 @@
 	}
 }
 
+// forgetConnections closes the connections to instances that were replaced. Otherwise each of them
+// would stay and try to connect for the life of this process.
+func (entry *Entry) forgetConnections() {
+	known := map[netip.AddrPort]bool{}
+	for _, member := range append(entry.exchanger.Live(), entry.exchanger.Silent()...) {
+		if address, ok := exchanger.Address(member); ok {
+			known[address] = true
+		}
+	}
+	entry.messenger.Forget(func(address netip.AddrPort) bool {
+		return known[address]
+	})
+}
+
+// serveMetrics publishes the counts of the adapters at the interval of the metrics.
+func (entry *Entry) serveMetrics(ctx context.Context) error {
+	ticker := time.NewTicker(entry.settings.Intervals.Metrics.Duration)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			entry.observe()
+		}
+	}
+}
+
 // observe publishes the byte counts of calls to peers.
 func (entry *Entry) observe() {
 	for flow, traffic := range entry.messenger.Traffic() {
--- a/internal/shard/driver/calls.go
+++ b/internal/shard/driver/calls.go
@@ -31,49 +31,31 @@
 // Submit binds the job's idempotency key to a job ID and one of the target shards, best first. The
 // shard is the registrar of the key. The job still has to be accepted by the target shard.
 func (driver *Driver) Submit(ctx context.Context, job descriptor.Job, targets []descriptor.ShardID) (descriptor.JobID, descriptor.ShardID, bool, error) {
-	ctx, span := driver.start(ctx, "shard.submit")
-	defer span.End()
-	answer := driver.ask(ctx, call{
-		event: func(request signaler.Request) signaler.Event {
-			return signaler.Bind{
-				Request: request,
-				Job:     job,
-				Targets: targets,
-				Nonce:   rand.Uint64(),
-			}
-		},
+	action, err := driver.command(ctx, "shard.submit", func(request signaler.Request) signaler.Event {
+		return signaler.Bind{
+			Request: request,
+			Job:     job,
+			Targets: targets,
+			Nonce:   rand.Uint64(),
+		}
 	})
-	bound, _ := answer.action.(signaler.AnswerBind)
-	if answer.problem == nil {
-		answer.problem = bound.Problem
-	}
-	if answer.problem != nil {
-		return "", "", false, failed(span, answer.problem)
+	if err != nil {
+		return "", "", false, err
 	}
+	bound, _ := action.(signaler.AnswerBind)
 	return bound.ID, bound.Target, bound.Existed, nil
 }
 
 // Accept makes a job durable in this shard. It may be repeated.
 func (driver *Driver) Accept(ctx context.Context, id descriptor.JobID, job descriptor.Job) error {
-	ctx, span := driver.start(ctx, "shard.accept")
-	defer span.End()
-	answer := driver.ask(ctx, call{
-		event: func(request signaler.Request) signaler.Event {
-			return signaler.Accept{
-				Request: request,
-				ID:      id,
-				Job:     job,
-			}
-		},
+	_, err := driver.command(ctx, "shard.accept", func(request signaler.Request) signaler.Event {
+		return signaler.Accept{
+			Request: request,
+			ID:      id,
+			Job:     job,
+		}
 	})
-	accepted, _ := answer.action.(signaler.AnswerAccept)
-	if answer.problem == nil {
-		answer.problem = accepted.Problem
-	}
-	if answer.problem != nil {
-		return failed(span, answer.problem)
-	}
-	return nil
+	return err
 }
 
 // Status returns what is known about a job of this shard, with its trail if explain is set.
@@ -106,24 +88,48 @@
 
 // Cancel cancels a job and returns its state once the cancellation is durable.
 func (driver *Driver) Cancel(ctx context.Context, id descriptor.JobID) (descriptor.JobStatus, error) {
-	ctx, span := driver.start(ctx, "shard.cancel")
+	action, err := driver.command(ctx, "shard.cancel", func(request signaler.Request) signaler.Event {
+		return signaler.Cancel{
+			Request: request,
+			ID:      id,
+		}
+	})
+	if err != nil {
+		return descriptor.JobStatus{}, err
+	}
+	cancelled, _ := action.(signaler.AnswerCancel)
+	return cancelled.Status, nil
+}
+
+// command hands an event to the controller and returns the action that answers it.
+func (driver *Driver) command(ctx context.Context, name string,
+	event func(request signaler.Request) signaler.Event,
+) (signaler.Action, error) {
+	ctx, span := driver.start(ctx, name)
 	defer span.End()
 	answer := driver.ask(ctx, call{
-		event: func(request signaler.Request) signaler.Event {
-			return signaler.Cancel{
-				Request: request,
-				ID:      id,
-			}
-		},
+		event: event,
 	})
-	cancelled, _ := answer.action.(signaler.AnswerCancel)
 	if answer.problem == nil {
-		answer.problem = cancelled.Problem
+		answer.problem = problemOf(answer.action)
 	}
 	if answer.problem != nil {
-		return descriptor.JobStatus{}, failed(span, answer.problem)
+		return nil, failed(span, answer.problem)
+	}
+	return answer.action, nil
+}
+
+func problemOf(action signaler.Action) *descriptor.Problem {
+	switch action := action.(type) {
+	case signaler.AnswerBind:
+		return action.Problem
+	case signaler.AnswerAccept:
+		return action.Problem
+	case signaler.AnswerCancel:
+		return action.Problem
+	default:
+		return nil
 	}
-	return cancelled.Status, nil
 }
 
 func (driver *Driver) start(ctx context.Context, name string) (context.Context, trace.Span) {
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
@@ -64,7 +63,7 @@
 		refuse(writer, storer.ErrUnavailable)
 		return
 	}
-	keeper.delay(faults.Slow.Duration)
+	server.Delay(keeper.closed, faults.Slow.Duration)
 	answer, err := keeper.execute(request.Context(), kind, call)
 	if err != nil {
 		refuse(writer, err)
@@ -77,20 +76,6 @@
 	server.Reply(writer, http.StatusOK, answer)
 }
 
-// delay does not depend on the caller, so that a write takes effect after its caller gave up.
-func (keeper *Keeper) delay(duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-keeper.closed:
-		server.Drop()
-	}
-}
-
 func (keeper *Keeper) execute(ctx context.Context, kind storer.Kind, call storer.Call) (storer.Answer, error) {
 	switch kind {
 	case storer.KindGet:
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -140,6 +140,21 @@
 	_, _ = writer.Write(body)
 }
 
+// Delay waits for a duration, or drops the call when the server is closed. It does not depend on the
+// caller, so that a delayed call takes effect after its caller gave up.
+func Delay(closed <-chan struct{}, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-closed:
+		Drop()
+	}
+}
+
 // Drop closes the connection of the call in progress without an answer.
 func Drop() {
 	panic(http.ErrAbortHandler)
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -46,7 +45,7 @@
 	if faults.Down {
 		server.Drop()
 	}
-	worker.delay(faults.Slow.Duration)
+	server.Delay(worker.closed, faults.Slow.Duration)
 	reply, err := worker.Sync(message)
 	if err != nil {
 		server.Reply(writer, http.StatusConflict, executor.Refusal{
@@ -60,19 +59,6 @@
 	server.Reply(writer, http.StatusOK, reply)
 }
 
-func (worker *Worker) delay(duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-worker.closed:
-		server.Drop()
-	}
-}
-
 func (worker *Worker) takeLoss() bool {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
