Move the adapters of the stand-ins' protocols to internal/gateway

Cause: the users' platform gets its own folder, platform/, and one project has one platform. Change: internal/platform becomes internal/gateway; no code changes.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,7 +21,7 @@
 	"pomelomoor/internal/measure/comparer"
 	"pomelomoor/internal/measure/tabulator"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 type command struct {
--- a/cmd/pomelomoor/local.go
+++ b/cmd/pomelomoor/local.go
@@ -13,7 +13,7 @@
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 var errLocal = errors.New("local run: an accepted item has no known fate, or an invariant was violated")
--- a/cmd/pomelomoor/main_test.go
+++ b/cmd/pomelomoor/main_test.go
@@ -17,7 +17,7 @@
 
 	"pomelomoor/internal/client/caller"
 	"pomelomoor/internal/entry/presenter"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/trial/spawner"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/integration/entry_test.go
+++ b/integration/entry_test.go
@@ -19,7 +19,7 @@
 
 	"pomelomoor/internal/client/caller"
 	"pomelomoor/internal/entry/presenter"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/trial/interrupter"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/integration/outage_test.go
+++ b/integration/outage_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"pomelomoor/internal/client/caller"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/keeper"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/entry/adapter/adapter_test.go
+++ b/internal/entry/adapter/adapter_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"pomelomoor/internal/entry/presenter"
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/request/forwarder"
 )
 
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -13,7 +13,7 @@
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/request/forwarder"
 	"pomelomoor/internal/shard/manager"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/entry/hoster/hoster.go
+++ b/internal/entry/hoster/hoster.go
@@ -22,7 +22,7 @@
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/shard/driver"
 	"pomelomoor/internal/shard/manager"
 	"pomelomoor/internal/shard/tallier"
--- a/internal/platform/executor/client.go
+++ b/internal/gateway/executor/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 // Path is where a worker takes the POST of a SyncRequest. It answers with a SyncReply, or with a Refusal.
--- a/internal/platform/lister/client.go
+++ b/internal/gateway/lister/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 const (
--- a/internal/platform/lister/client_test.go
+++ b/internal/gateway/lister/client_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/keeper"
 )
 
--- a/internal/platform/requester/client.go
+++ b/internal/gateway/requester/client.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/propagation"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 // Path is where a runner takes the POST of a request.
--- a/internal/platform/sender/sender_test.go
+++ b/internal/gateway/sender/sender_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 // TestSend guards against calls that are repeated elsewhere after a redirect, against answers
--- a/internal/platform/storer/client_test.go
+++ b/internal/gateway/storer/client_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 )
 
 // TestForeignAnswers guards against a write that is held for refused, or for done, because of an
--- a/internal/local/coordinator/fake_test.go
+++ b/internal/local/coordinator/fake_test.go
@@ -20,10 +20,10 @@
 	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/requester"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/requester"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/launcher/entries.go
+++ b/internal/local/launcher/entries.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/launcher/launcher.go
+++ b/internal/local/launcher/launcher.go
@@ -15,7 +15,7 @@
 
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/standin/balancer"
 	"pomelomoor/internal/standin/delayer"
 	"pomelomoor/internal/standin/keeper"
--- a/internal/local/launcher/network.go
+++ b/internal/local/launcher/network.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"pomelomoor/internal/local/planner"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/standin/delayer"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/local/reporter/measures.go
+++ b/internal/local/reporter/measures.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pomelomoor/internal/local/launcher"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/reporter/reporter_test.go
+++ b/internal/local/reporter/reporter_test.go
@@ -12,7 +12,7 @@
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/local/reporter"
 	"pomelomoor/internal/local/submitter"
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/local/submitter/submitter.go
+++ b/internal/local/submitter/submitter.go
@@ -16,7 +16,7 @@
 
 	"pomelomoor/internal/client/caller"
 	"pomelomoor/internal/local/planner"
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/archiver/archiver.go
+++ b/internal/measure/archiver/archiver.go
@@ -14,7 +14,7 @@
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/measure/profiler"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/standin/keeper"
--- a/internal/measure/archiver/config.go
+++ b/internal/measure/archiver/config.go
@@ -11,7 +11,7 @@
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/measure/profiler"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/imitator/imitator.go
+++ b/internal/measure/imitator/imitator.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/shard/signaler"
--- a/internal/measure/prober/prober.go
+++ b/internal/measure/prober/prober.go
@@ -17,7 +17,7 @@
 	"pomelomoor/internal/member/messenger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/prober/sync.go
+++ b/internal/measure/prober/sync.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/measure/profiler"
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/measure/sampler/cell.go
+++ b/internal/measure/sampler/cell.go
@@ -11,7 +11,7 @@
 	"pomelomoor/internal/client/caller"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/keeper"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/standin/worker"
--- a/internal/member/exchanger/exchanger.go
+++ b/internal/member/exchanger/exchanger.go
@@ -14,7 +14,7 @@
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/member/holder/holder.go
+++ b/internal/member/holder/holder.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pomelomoor/internal/member/peerpb"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -12,7 +12,7 @@
 
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 )
 
 // instant answers at once.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -15,7 +15,7 @@
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/request/retrier"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/request/forwarder/deadline_test.go
+++ b/internal/request/forwarder/deadline_test.go
@@ -12,7 +12,7 @@
 
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -14,8 +14,8 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/member/peerpb"
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/request/retrier/outcome.go
+++ b/internal/request/retrier/outcome.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/member/peerpb"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/request/router/health.go
+++ b/internal/request/router/health.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 )
 
 // Outcome is what one attempt told about a runner.
--- a/internal/shard/arbiter/outcome.go
+++ b/internal/shard/arbiter/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/recorder"
 )
 
--- a/internal/shard/caller/caller.go
+++ b/internal/shard/caller/caller.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/signaler"
 )
 
--- a/internal/shard/caller/caller_test.go
+++ b/internal/shard/caller/caller_test.go
@@ -9,7 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/shard/controller/controller_test.go
+++ b/internal/shard/controller/controller_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/shard/controller/script_test.go
+++ b/internal/shard/controller/script_test.go
@@ -16,7 +16,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/shard/controller/stragglers_test.go
+++ b/internal/shard/controller/stragglers_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/shard/controller/world_test.go
+++ b/internal/shard/controller/world_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -12,7 +12,7 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/placement/estimator"
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
--- a/internal/shard/dispatcher/runs.go
+++ b/internal/shard/dispatcher/runs.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
 	"pomelomoor/internal/shard/watcher"
--- a/internal/shard/dispatcher/workers.go
+++ b/internal/shard/dispatcher/workers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -18,9 +18,9 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/awaiter"
 	"pomelomoor/internal/shard/caller"
--- a/internal/shard/driver/driver_test.go
+++ b/internal/shard/driver/driver_test.go
@@ -15,9 +15,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/controller"
 	"pomelomoor/internal/shard/signaler"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/shard/journaler/journaler.go
+++ b/internal/shard/journaler/journaler.go
@@ -14,7 +14,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/shard/journaler/journaler_test.go
+++ b/internal/shard/journaler/journaler_test.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/recordpb"
 )
 
--- a/internal/shard/journaler/opening.go
+++ b/internal/shard/journaler/opening.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/recordpb"
 )
 
--- a/internal/shard/journaler/snapshot.go
+++ b/internal/shard/journaler/snapshot.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/recordpb"
 )
 
--- a/internal/shard/recorder/recorder.go
+++ b/internal/shard/recorder/recorder.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/shard/registrar"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/shard/recorder/records.go
+++ b/internal/shard/recorder/records.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/shard/signaler/events.go
+++ b/internal/shard/signaler/events.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/shard/watcher/fleet.go
+++ b/internal/shard/watcher/fleet.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/shard/watcher/watcher.go
+++ b/internal/shard/watcher/watcher.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 const (
--- a/internal/standin/delayer/delayer.go
+++ b/internal/standin/delayer/delayer.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"pomelomoor/internal/platform/sender"
+	"pomelomoor/internal/gateway/sender"
 )
 
 const (
--- a/internal/standin/keeper/bench_test.go
+++ b/internal/standin/keeper/bench_test.go
@@ -5,8 +5,8 @@
 	"net/netip"
 	"testing"
 
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/standin/keeper"
 )
 
--- a/internal/standin/keeper/handler.go
+++ b/internal/standin/keeper/handler.go
@@ -7,7 +7,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/standin/server"
 )
 
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/standin/server"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/keeper/keeper_test.go
+++ b/internal/standin/keeper/keeper_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/lister"
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/standin/keeper"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/keeper/list.go
+++ b/internal/standin/keeper/list.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/server"
 )
 
--- a/internal/standin/keeper/store.go
+++ b/internal/standin/keeper/store.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"pomelomoor/internal/platform/storer"
+	"pomelomoor/internal/gateway/storer"
 )
 
 func (keeper *Keeper) get(key string) (storer.Answer, error) {
--- a/internal/standin/runner/handler.go
+++ b/internal/standin/runner/handler.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/standin/server"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/server"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/runner/runner_test.go
+++ b/internal/standin/runner/runner_test.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/trace"
 
-	"pomelomoor/internal/platform/requester"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/server/announcement.go
+++ b/internal/standin/server/announcement.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/netip"
 
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/lister"
 )
 
 // Announcement is a stand-in's row on the instance list.
--- a/internal/standin/worker/bench_test.go
+++ b/internal/standin/worker/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/worker"
 )
 
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/server"
 )
 
--- a/internal/standin/worker/run.go
+++ b/internal/standin/worker/run.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"pomelomoor/internal/platform/executor"
-	"pomelomoor/internal/platform/lister"
+	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/server"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/platform/executor"
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
 )
