--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/entry/assembler"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/local/coordinator"
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/local/planner"
@@ -21,7 +22,6 @@
 	"pomelomoor/internal/measure/comparer"
 	"pomelomoor/internal/measure/tabulator"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/gateway/sender"
 )
 
 type command struct {
--- a/cmd/pomelomoor/local.go
+++ b/cmd/pomelomoor/local.go
@@ -9,11 +9,11 @@
 
 	"pomelomoor/internal/client/commander"
 	"pomelomoor/internal/entry/assembler"
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/local/coordinator"
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/gateway/sender"
 )
 
 var errLocal = errors.New("local run: an accepted item has no known fate, or an invariant was violated")
--- a/cmd/pomelomoor/main.go
+++ b/cmd/pomelomoor/main.go
@@ -29,6 +29,7 @@
 		Stderr:  os.Stderr,
 		Version: version(),
 		Entry:   runEntry,
+		Node:    runNode,
 		Local:   runLocal,
 	}
 	return program.Run(ctx, os.Args[1:])
--- /dev/null
+++ b/internal/cell/messenger/messenger.go
@@ -0,0 +1,262 @@
+// Package messenger carries the messages between the instances of a cell over gRPC.
+package messenger
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"pomelomoor/internal/cell/cellpb"
+	"pomelomoor/internal/cell/describer"
+)
+
+const (
+	// keepaliveTime and keepaliveTimeout find connections that went silent.
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = time.Second
+	// connectTimeout bounds the opening of a connection; the way between regions and back takes 60 ms.
+	connectTimeout = 500 * time.Millisecond
+	// mostBackoff bounds the pause between attempts to connect.
+	mostBackoff = 500 * time.Millisecond
+)
+
+// ErrNotLeader means that the instance does not lead.
+var ErrNotLeader = errors.New("instance does not lead")
+
+// Leader answers what only the leader knows. The error is ErrNotLeader if the instance does not lead.
+type Leader interface {
+	State(id describer.JobID) (describer.JobState, error)
+	Pending(queue string) (int, error)
+}
+
+// server serves the messages of other instances.
+type server struct {
+	cellpb.UnimplementedCellServer
+
+	leader  Leader
+	adviser describer.Adviser
+}
+
+// Serve serves the messages of other instances on address until ctx ends.
+func Serve(ctx context.Context, address netip.AddrPort, leader Leader, adviser describer.Adviser) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for other instances")
+	}
+	grpcServer := grpc.NewServer(
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             keepaliveTime / 2,
+			PermitWithoutStream: true,
+		}),
+	)
+	cellpb.RegisterCellServer(grpcServer, &server{
+		leader:  leader,
+		adviser: adviser,
+	})
+	stop := context.AfterFunc(ctx, grpcServer.Stop)
+	defer stop()
+	if err := grpcServer.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serve other instances")
+	}
+	return ctx.Err()
+}
+
+func unavailable(err error) error {
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// State implements cellpb.CellServer.
+func (server *server) State(_ context.Context, request *cellpb.StateRequest) (*cellpb.StateReply, error) {
+	state, err := server.leader.State(describer.JobID(request.GetJob()))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &cellpb.StateReply{
+		State: int32(state),
+	}, nil
+}
+
+// Pending implements cellpb.CellServer.
+func (server *server) Pending(_ context.Context, request *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
+	count, err := server.leader.Pending(request.GetQueue())
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &cellpb.PendingReply{
+		Count: int64(count),
+	}, nil
+}
+
+// Advise implements cellpb.CellServer.
+func (server *server) Advise(ctx context.Context, request *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
+	workers := make([]describer.WorkerID, 0, len(request.GetWorkers()))
+	for _, worker := range request.GetWorkers() {
+		workers = append(workers, describer.WorkerID(worker))
+	}
+	step := describer.StepID{
+		Job:        describer.JobID(request.GetJob()),
+		Occurrence: int(request.GetOccurrence()),
+		Step:       int(request.GetStep()),
+	}
+	advice, err := server.adviser.Advise(ctx, step, workers)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	reply := &cellpb.AdviseReply{
+		ValidityMs: advice.Validity.Milliseconds(),
+	}
+	for _, ticket := range advice.Tickets {
+		reply.Tickets = append(reply.Tickets, &cellpb.Ticket{
+			Worker: string(ticket.Worker),
+			Ticket: ticket.Ticket,
+		})
+	}
+	return reply, nil
+}
+
+// Messenger sends messages to other instances.
+type Messenger struct {
+	mutex sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// New returns a messenger and a function that closes its connections.
+func New() (*Messenger, func()) {
+	messenger := &Messenger{
+		conns: map[netip.AddrPort]*grpc.ClientConn{},
+	}
+	return messenger, messenger.close
+}
+
+func (messenger *Messenger) close() {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	for address, conn := range messenger.conns {
+		conn.Close()
+		delete(messenger.conns, address)
+	}
+}
+
+// Retain closes the connections to all instances but those at addresses.
+func (messenger *Messenger) Retain(addresses map[netip.AddrPort]bool) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	for address, conn := range messenger.conns {
+		if !addresses[address] {
+			conn.Close()
+			delete(messenger.conns, address)
+		}
+	}
+}
+
+func (messenger *Messenger) client(address netip.AddrPort) (cellpb.CellClient, error) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	conn := messenger.conns[address]
+	if conn == nil {
+		var err error
+		conn, err = grpc.NewClient("passthrough:///"+address.String(),
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{
+				Time:    keepaliveTime,
+				Timeout: keepaliveTimeout,
+			}),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff: backoff.Config{
+					BaseDelay:  connectTimeout / 5,
+					Multiplier: 1.6,
+					Jitter:     0.2,
+					MaxDelay:   mostBackoff,
+				},
+				MinConnectTimeout: connectTimeout,
+			}),
+		)
+		if err != nil {
+			return nil, errors.Wrap(err, "connect to instance")
+		}
+		messenger.conns[address] = conn
+	}
+	return cellpb.NewCellClient(conn), nil
+}
+
+// Drop closes the connection to an instance that did not answer, so that the next call opens a new one.
+func (messenger *Messenger) Drop(address netip.AddrPort) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if conn := messenger.conns[address]; conn != nil {
+		conn.Close()
+		delete(messenger.conns, address)
+	}
+}
+
+// State asks the leader at address for the state of a job.
+func (messenger *Messenger) State(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error) {
+	client, err := messenger.client(address)
+	if err != nil {
+		return describer.JobUnknown, err
+	}
+	reply, err := client.State(ctx, &cellpb.StateRequest{
+		Job: string(id),
+	})
+	if err != nil {
+		return describer.JobUnknown, errors.Wrap(err, "ask leader for a state")
+	}
+	return describer.JobState(reply.GetState()), nil
+}
+
+// Pending asks the leader at address for the number of jobs of a queue that have not begun.
+func (messenger *Messenger) Pending(ctx context.Context, address netip.AddrPort, queue string) (int, error) {
+	client, err := messenger.client(address)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := client.Pending(ctx, &cellpb.PendingRequest{
+		Queue: queue,
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "ask leader for a queue")
+	}
+	return int(reply.GetCount()), nil
+}
+
+// Advise has the instance at address ask the advice service.
+func (messenger *Messenger) Advise(ctx context.Context, address netip.AddrPort, step describer.StepID, workers []describer.WorkerID) (describer.Advice, error) {
+	client, err := messenger.client(address)
+	if err != nil {
+		return describer.Advice{}, err
+	}
+	names := make([]string, 0, len(workers))
+	for _, worker := range workers {
+		names = append(names, string(worker))
+	}
+	reply, err := client.Advise(ctx, &cellpb.AdviseRequest{
+		Job:        string(step.Job),
+		Occurrence: int32(step.Occurrence),
+		Step:       int32(step.Step),
+		Workers:    names,
+	})
+	if err != nil {
+		return describer.Advice{}, errors.Wrap(err, "have an instance ask for advice")
+	}
+	advice := describer.Advice{
+		Validity: time.Duration(reply.GetValidityMs()) * time.Millisecond,
+	}
+	for _, ticket := range reply.GetTickets() {
+		advice.Tickets = append(advice.Tickets, describer.Ticket{
+			Worker: describer.WorkerID(ticket.GetWorker()),
+			Ticket: ticket.GetTicket(),
+		})
+	}
+	return advice, nil
+}
--- /dev/null
+++ b/internal/cell/planner/place.go
@@ -0,0 +1,246 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/work/descriptor"
+)
+
+// lateFactor is by how much a job may exceed its objective and still earn a part of its worth.
+// Source: the rules of the platform's users.
+const lateFactor = 3
+
+// objective is the time from an occurrence's due time in which its caller wants it done.
+func (planner *Planner) objective(step *step) time.Duration {
+	policy := &step.job.policy
+	var chain time.Duration
+	for _, first := range step.occurrence.steps {
+		chain = max(chain, first.tail)
+	}
+	return time.Duration(policy.SlackFactor*float64(chain)) + policy.Objective
+}
+
+// latestStart is when step has to start for its occurrence to meet its objective.
+func (planner *Planner) latestStart(step *step) time.Time {
+	return step.occurrence.due.Add(planner.objective(step) - step.tail)
+}
+
+// order is the place of a step among those that wait.
+type order struct {
+	step *step
+	// class is 0 if the objective can be met, 1 if the job is worth a part yet, 2 otherwise.
+	class  int
+	latest time.Time
+}
+
+func (planner *Planner) orderOf(now time.Time, step *step) order {
+	order := order{
+		step:   step,
+		latest: planner.latestStart(step),
+	}
+	late := order.latest.Add((lateFactor - 1) * planner.objective(step))
+	switch {
+	case now.After(late):
+		order.class = 2
+	case now.After(order.latest):
+		order.class = 1
+	}
+	return order
+}
+
+func compareOrders(left, right order) int {
+	if left.class != right.class {
+		return left.class - right.class
+	}
+	if compared := left.latest.Compare(right.latest); compared != 0 {
+		return compared
+	}
+	if left.step.job.ID != right.step.job.ID {
+		if left.step.job.ID < right.step.job.ID {
+			return -1
+		}
+		return 1
+	}
+	return left.step.index - right.step.index
+}
+
+// Pass places what waits, the most urgent step first.
+func (planner *Planner) Pass(now time.Time) {
+	if !planner.changed {
+		return
+	}
+	planner.changed = false
+	orders := make([]order, 0, len(planner.waiting))
+	for step := range planner.waiting {
+		orders = append(orders, planner.orderOf(now, step))
+	}
+	slices.SortFunc(orders, compareOrders)
+	for _, order := range orders {
+		planner.refreshAdvice(now, order.step)
+		planner.placeStep(now, order.step)
+	}
+}
+
+func (planner *Planner) placeStep(now time.Time, step *step) {
+	if step.Gang {
+		planner.placeGang(now, step)
+		return
+	}
+	for _, task := range step.tasks {
+		if task.state != taskWaiting {
+			continue
+		}
+		worker, ticket := planner.choose(now, task, nil)
+		if worker == nil {
+			step.advice.starved = true
+			return
+		}
+		planner.intend(now, task, worker, ticket, task.run+1)
+	}
+	step.advice.starved = false
+}
+
+// placeGang places all tasks of a gang or none.
+func (planner *Planner) placeGang(now time.Time, step *step) {
+	if step.unplaced < step.Count {
+		// Members of an earlier run have not ended yet.
+		return
+	}
+	type place struct {
+		worker *worker
+		ticket string
+	}
+	places := make([]place, 0, step.Count)
+	booked := map[*worker]int{}
+	for _, task := range step.tasks {
+		worker, ticket := planner.choose(now, task, booked)
+		if worker == nil {
+			step.advice.starved = true
+			return
+		}
+		booked[worker]++
+		places = append(places, place{
+			worker: worker,
+			ticket: ticket,
+		})
+	}
+	step.advice.starved = false
+	step.gangRun++
+	checkpoint := ""
+	for _, task := range step.tasks {
+		checkpoint = max(checkpoint, task.checkpoint)
+	}
+	for index, task := range step.tasks {
+		task.checkpoint = checkpoint
+		planner.intend(now, task, places[index].worker, places[index].ticket, step.gangRun)
+	}
+}
+
+// usable tells whether worker may be given work at all.
+func (worker *worker) usable() bool {
+	return worker.known && !worker.gone && worker.description != nil && !worker.description.Draining &&
+		worker.silentSince.IsZero() && len(worker.strangers) == 0
+}
+
+// suits tells whether worker may ever run tasks of step.
+func (worker *worker) suits(step *step) bool {
+	description := worker.description
+	if description == nil || description.Service != step.job.policy.Service {
+		return false
+	}
+	if step.Label != "" && step.Label != description.Kind && step.Label != description.Rack {
+		return false
+	}
+	return fits(step.Occupied(), description.Capacity)
+}
+
+func fits(needs, free descriptor.Resources) bool {
+	return needs.MilliCPU <= free.MilliCPU && needs.MemoryBytes <= free.MemoryBytes && needs.Accelerators <= free.Accelerators
+}
+
+// count is the number of runs of step on worker.
+func (worker *worker) count(step *step) int {
+	count := 0
+	for _, run := range worker.runs {
+		if run.task.step == step {
+			count++
+		}
+	}
+	return count
+}
+
+// choose returns the best worker for task and its ticket, or nil. Booked counts the tasks of the same
+// step that the pass is about to give to a worker.
+func (planner *Planner) choose(now time.Time, task *task, booked map[*worker]int) (best *worker, bestTicket string) {
+	step := task.step
+	needs := step.Occupied()
+	var bestScore float64
+	for _, worker := range planner.workers {
+		if !worker.usable() || now.Before(worker.health.avoided) || !worker.suits(step) {
+			continue
+		}
+		ticket, allowed := step.ticket(now, worker)
+		if !allowed {
+			continue
+		}
+		free := worker.description.Capacity.Sub(worker.used)
+		more := booked[worker]
+		for range more {
+			free = free.Sub(needs)
+		}
+		if !fits(needs, free) {
+			continue
+		}
+		if step.MostPerWorker > 0 && worker.count(step)+more >= step.MostPerWorker {
+			continue
+		}
+		score := planner.score(worker, task, free)
+		if best == nil || score < bestScore || score == bestScore && worker.id < best.id {
+			best, bestTicket, bestScore = worker, ticket, score
+		}
+	}
+	return best, bestTicket
+}
+
+// score is lower for the better worker: the one on which the task ends sooner, then the one that it fills most.
+func (planner *Planner) score(worker *worker, task *task, free descriptor.Resources) float64 {
+	step := task.step
+	factor := worker.health.factor()
+	if step.NearRack != "" && step.NearRack != worker.description.Rack {
+		factor *= planner.options.RemoteFactor
+	}
+	capacity := max(worker.description.Capacity.MilliCPU, 1)
+	return 2*factor + float64(free.MilliCPU)/float64(capacity)
+}
+
+// intend books a run, which starts when its record is durable.
+func (planner *Planner) intend(now time.Time, task *task, worker *worker, ticket string, number int) {
+	job := task.step.job
+	run := &run{
+		task:   task,
+		number: max(number, task.run+1),
+		worker: worker,
+		phase:  phaseIntended,
+		placed: now,
+		ticket: ticket,
+	}
+	task.run = run.number
+	planner.attach(run)
+	if job.state == describer.JobQueued {
+		job.state = describer.JobRunning
+	}
+	planner.touch(job)
+	run.generation = job.generation
+	job.intended = append(job.intended, run)
+	planner.stats.Placed++
+	planner.emit(Event{
+		Kind:   EventRunPlaced,
+		Job:    job.ID,
+		Task:   run.id().String(),
+		Run:    run.number,
+		Worker: worker.id,
+		Age:    now.Sub(worker.clockAt),
+	})
+}
--- /dev/null
+++ b/internal/cell/planner/record.go
@@ -0,0 +1,236 @@
+package planner
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/cell/describer"
+)
+
+// Record is the stored progress of a job.
+type Record struct {
+	State describer.JobState
+	// Queue and Ended are set in a final state only.
+	Queue string    `json:",omitempty"`
+	Ended time.Time `json:",omitzero"`
+	// Next is the first occurrence that was not due yet, Completed counts those that are done.
+	Next        int `json:",omitempty"`
+	Completed   int `json:",omitempty"`
+	Occurrences []OccurrenceRecord
+}
+
+// OccurrenceRecord is the progress of an occurrence that is not done.
+type OccurrenceRecord struct {
+	Number int `json:",omitempty"`
+	Steps  []StepRecord
+}
+
+// StepRecord is the progress of a step.
+type StepRecord struct {
+	// Done are the indices of the tasks that are done.
+	Done []int `json:",omitempty"`
+	// Failures and Run count the failed runs and all runs of a gang.
+	Failures int          `json:",omitempty"`
+	Tasks    []TaskRecord `json:",omitempty"`
+}
+
+// TaskRecord is the progress of a task that had a run and is not done.
+type TaskRecord struct {
+	Index      int
+	Run        int
+	Failures   int    `json:",omitempty"`
+	Checkpoint string `json:",omitempty"`
+	// Worker is where the run may be; empty if it is over.
+	Worker describer.WorkerID `json:",omitempty"`
+	// Born is the incarnation of the worker in Unix milliseconds.
+	Born int64 `json:",omitempty"`
+}
+
+// Dirty returns the jobs whose records changed since they were last encoded.
+func (planner *Planner) Dirty() []describer.JobID {
+	ids := slices.Collect(maps.Keys(planner.dirty))
+	slices.Sort(ids)
+	return ids
+}
+
+// Encode returns the record of a job and the generation that it shows. A nil record is to be removed.
+func (planner *Planner) Encode(id describer.JobID) (record []byte, generation int64, final bool, err error) {
+	delete(planner.dirty, id)
+	job := planner.jobs[id]
+	if job == nil {
+		return nil, 0, true, nil
+	}
+	record, err = json.Marshal(job.record())
+	if err != nil {
+		return nil, 0, false, errors.Wrapf(err, "encode record of %s", id)
+	}
+	return record, job.generation, job.state.Final(), nil
+}
+
+func (job *job) record() Record {
+	record := Record{
+		State: job.state,
+	}
+	if job.state.Final() {
+		record.Queue = job.Queue
+		record.Ended = job.endedAt
+		return record
+	}
+	record.Next = job.next
+	record.Completed = job.completed
+	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
+		occurrence := job.occurrences[number]
+		steps := make([]StepRecord, 0, len(occurrence.steps))
+		for _, step := range occurrence.steps {
+			steps = append(steps, step.record())
+		}
+		record.Occurrences = append(record.Occurrences, OccurrenceRecord{
+			Number: number,
+			Steps:  steps,
+		})
+	}
+	return record
+}
+
+func (step *step) record() StepRecord {
+	record := StepRecord{
+		Failures: step.gangFailures,
+	}
+	for _, task := range step.tasks {
+		if task.state == taskDone {
+			record.Done = append(record.Done, task.index)
+			continue
+		}
+		if task.run == 0 {
+			continue
+		}
+		entry := TaskRecord{
+			Index:      task.index,
+			Run:        task.run,
+			Failures:   task.failures,
+			Checkpoint: task.checkpoint,
+		}
+		if task.active != nil {
+			entry.Worker = task.active.worker.id
+			entry.Born = task.active.worker.born.UnixMilli()
+		}
+		record.Tasks = append(record.Tasks, entry)
+	}
+	return record
+}
+
+// Durable says that the record of a job is stored up to generation.
+func (planner *Planner) Durable(now time.Time, id describer.JobID, generation int64) {
+	job := planner.jobs[id]
+	if job == nil || generation <= job.durable {
+		return
+	}
+	job.durable = generation
+	remaining := job.intended[:0]
+	for _, run := range job.intended {
+		switch {
+		case run.phase != phaseIntended:
+		case run.generation > generation:
+			remaining = append(remaining, run)
+		default:
+			planner.launch(now, run)
+		}
+	}
+	job.intended = remaining
+}
+
+// Restore takes over a job from its description and stored record. The record is nil if no earlier leader
+// decided anything, the description is nil in a final state.
+func (planner *Planner) Restore(now time.Time, id describer.JobID, description *describer.Job, stored []byte) error {
+	record := Record{
+		State: describer.JobQueued,
+	}
+	if stored != nil {
+		if err := json.Unmarshal(stored, &record); err != nil {
+			return errors.Wrapf(err, "decode record of %s", id)
+		}
+	}
+	if record.State.Final() {
+		planner.restoreEnded(id, record)
+		return nil
+	}
+	if description == nil {
+		return errors.Errorf("record of %s has no description", id)
+	}
+	if planner.jobs[id] != nil {
+		return nil
+	}
+	job := planner.newJob(description)
+	job.state = record.State
+	job.next = record.Next
+	job.completed = record.Completed
+	for _, stored := range record.Occurrences {
+		planner.restoreOccurrence(now, job, stored)
+	}
+	planner.openDue(now, job)
+	planner.settle(now, job)
+	return nil
+}
+
+func (planner *Planner) restoreEnded(id describer.JobID, record Record) {
+	job := &job{
+		Job: &describer.Job{
+			ID:    id,
+			Queue: record.Queue,
+		},
+		queue:   planner.stat(record.Queue),
+		state:   record.State,
+		endedAt: record.Ended,
+	}
+	planner.jobs[id] = job
+	planner.ended = append(planner.ended, job)
+}
+
+func (planner *Planner) restoreOccurrence(now time.Time, job *job, stored OccurrenceRecord) {
+	occurrence := planner.open(job, stored.Number)
+	for index, stepRecord := range stored.Steps {
+		if index >= len(occurrence.steps) {
+			break
+		}
+		step := occurrence.steps[index]
+		step.gangFailures = stepRecord.Failures
+		for _, done := range stepRecord.Done {
+			planner.markDone(step.tasks[done])
+		}
+		for _, entry := range stepRecord.Tasks {
+			planner.restoreTask(now, step.tasks[entry.Index], entry)
+		}
+	}
+}
+
+func (planner *Planner) restoreTask(now time.Time, task *task, entry TaskRecord) {
+	task.run = entry.Run
+	task.failures = entry.Failures
+	task.checkpoint = entry.Checkpoint
+	task.step.gangRun = max(task.step.gangRun, entry.Run)
+	if entry.Worker == "" {
+		return
+	}
+	worker := planner.worker(entry.Worker)
+	born := time.UnixMilli(entry.Born)
+	if worker.born.IsZero() || worker.born.UnixMilli() == 0 {
+		worker.born = born
+	}
+	if born.Before(worker.born) {
+		// The incarnation that had the run is gone.
+		return
+	}
+	worker.leaseUntil = planner.options.Takeover.Add(planner.options.InheritedHold)
+	run := &run{
+		task:   task,
+		number: entry.Run,
+		worker: worker,
+		phase:  phaseRecovered,
+		placed: now,
+	}
+	planner.attach(run)
+}
--- /dev/null
+++ b/internal/cell/planner/workers.go
@@ -0,0 +1,484 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/work/descriptor"
+)
+
+const (
+	// extendSilent is how long the leases of a silent worker are still renewed. A worker that is cut off
+	// one way keeps its runs that long; after it the leases lapse, so that the runs can start elsewhere.
+	extendSilent = 1500 * time.Millisecond
+	// stopRepeat is the pause between two orders to stop the same run.
+	stopRepeat = 400 * time.Millisecond
+	// lookWait is how long a worker may wait for an end before it answers a look.
+	lookWait = time.Second
+)
+
+// worker is what is known of a worker.
+type worker struct {
+	id          describer.WorkerID
+	description *describer.Worker
+	born        time.Time
+	// known means that the worker answered in this term, so that its list is complete.
+	known bool
+	// gone means that the registry does not list the worker.
+	gone bool
+	runs map[describer.TaskID]*run
+	used descriptor.Resources
+	// strangers are runs that the planner does not know; their room is unknown until they have ended.
+	strangers map[describer.TaskID]int
+	// clock is the least that the worker's clock showed at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseUntil is when all leases on the worker have lapsed unless they are renewed.
+	leaseUntil time.Time
+	// silentSince is when the worker stopped answering; zero while it answers.
+	silentSince time.Time
+	// handled is the number of the last end that was taken, seen of the last that is durable.
+	handled int64
+	seen    int64
+	unseen  []unseenEnd
+	health  health
+}
+
+// unseenEnd is an end that the worker must not forget before a record is durable.
+type unseenEnd struct {
+	number     int64
+	job        *job
+	generation int64
+}
+
+func (planner *Planner) worker(id describer.WorkerID) *worker {
+	known := planner.workers[id]
+	if known == nil {
+		known = &worker{
+			id:        id,
+			gone:      true,
+			runs:      map[describer.TaskID]*run{},
+			strangers: map[describer.TaskID]int{},
+		}
+		planner.workers[id] = known
+	}
+	return known
+}
+
+// SetWorker takes a worker's entry in the registry.
+func (planner *Planner) SetWorker(now time.Time, description *describer.Worker) {
+	worker := planner.worker(description.ID)
+	if worker.description != nil && description.Born.Before(worker.born) {
+		return
+	}
+	if description.Born.After(worker.born) {
+		planner.reborn(now, worker, description.Born)
+	}
+	if worker.clockAt.IsZero() {
+		worker.clock = description.Clock
+		worker.clockAt = now
+	}
+	worker.description = description
+	worker.gone = false
+	planner.changed = true
+}
+
+// RemoveWorker says that the registry no longer lists a worker.
+func (planner *Planner) RemoveWorker(id describer.WorkerID) {
+	if worker := planner.workers[id]; worker != nil {
+		worker.gone = true
+	}
+}
+
+// reborn ends all that ran on earlier incarnations of worker.
+func (planner *Planner) reborn(now time.Time, worker *worker, born time.Time) {
+	fresh := worker.born.IsZero()
+	worker.born = born
+	if fresh {
+		return
+	}
+	planner.emit(Event{
+		Kind:   EventWorkerReborn,
+		Worker: worker.id,
+	})
+	planner.loseRuns(now, worker, "worker started anew")
+	worker.known = false
+	worker.clockAt = time.Time{}
+	worker.handled = 0
+	worker.seen = 0
+	worker.unseen = nil
+	worker.health = health{}
+	clear(worker.strangers)
+}
+
+func (planner *Planner) loseRuns(now time.Time, worker *worker, reason string) {
+	for _, run := range worker.runs {
+		planner.stats.Lost++
+		planner.emit(Event{
+			Kind:   EventRunLost,
+			Job:    run.task.step.job.ID,
+			Task:   run.id().String(),
+			Run:    run.number,
+			Worker: worker.id,
+			Detail: reason,
+			Age:    now.Sub(run.placed),
+		})
+		planner.release(now, run, reason)
+	}
+}
+
+// Reachable returns the workers that have an address.
+func (planner *Planner) Reachable() []*describer.Worker {
+	var all []*describer.Worker
+	for _, worker := range planner.workers {
+		if worker.description != nil {
+			all = append(all, worker.description)
+		}
+	}
+	return all
+}
+
+// LookOrder returns the next order to look at a worker. Nil means that the worker is forgotten. Unseen means
+// that ends wait for their records, so that the worker would answer at once.
+func (planner *Planner) LookOrder(now time.Time, id describer.WorkerID) (description *describer.Worker, order describer.LookOrder, unseen bool) {
+	worker := planner.workers[id]
+	if worker == nil || worker.description == nil {
+		return nil, order, false
+	}
+	worker.advanceSeen()
+	order.Seen = worker.seen
+	order.Wait = lookWait
+	if !worker.known || !worker.silentSince.IsZero() {
+		order.Wait = 0
+	}
+	if worker.silentSince.IsZero() || now.Sub(worker.silentSince) < extendSilent {
+		lease := min(planner.options.LongestLease, usualLease)
+		order.Deadline = worker.clockNow(now) + lease
+		worker.extend(now, lease)
+	}
+	return worker.description, order, len(worker.unseen) > 0
+}
+
+// extend notes that an order may make the leases on worker last for lease.
+func (worker *worker) extend(now time.Time, lease time.Duration) {
+	until := now.Add(time.Duration(float64(lease)/clockSlowness) + leaseMargin)
+	if until.After(worker.leaseUntil) {
+		worker.leaseUntil = until
+	}
+}
+
+// clockNow estimates the worker's clock.
+func (worker *worker) clockNow(now time.Time) time.Duration {
+	return worker.clock + now.Sub(worker.clockAt)
+}
+
+// advanceSeen lets the worker forget the ends whose records are durable.
+func (worker *worker) advanceSeen() {
+	for len(worker.unseen) > 0 {
+		first := worker.unseen[0]
+		if first.job != nil && first.job.durable < first.generation {
+			return
+		}
+		worker.seen = first.number
+		worker.unseen = worker.unseen[1:]
+	}
+}
+
+// Looked takes a worker's answer to a look that was sent at sent.
+func (planner *Planner) Looked(now, sent time.Time, id describer.WorkerID, look describer.Look) {
+	worker := planner.workers[id]
+	if worker == nil || look.Born.Before(worker.born) {
+		return
+	}
+	if look.Born.After(worker.born) {
+		planner.reborn(now, worker, look.Born)
+	}
+	if !worker.silentSince.IsZero() {
+		planner.emit(Event{
+			Kind:   EventWorkerBack,
+			Worker: worker.id,
+			Age:    now.Sub(worker.silentSince),
+		})
+		worker.silentSince = time.Time{}
+		planner.changed = true
+	}
+	if !worker.known {
+		worker.known = true
+		planner.changed = true
+	}
+	worker.clock = look.Clock
+	worker.clockAt = now
+	for _, end := range look.Ended {
+		planner.takeEnd(now, worker, end)
+	}
+	planner.compare(now, sent, worker, look)
+}
+
+// compare brings the runs that are known of worker in line with its list.
+func (planner *Planner) compare(now, sent time.Time, worker *worker, look describer.Look) {
+	listed := make(map[describer.TaskID]bool, len(look.Running))
+	strangers := len(worker.strangers)
+	clear(worker.strangers)
+	for index := range look.Running {
+		running := &look.Running[index]
+		run := worker.runs[running.Task]
+		if run == nil || run.number != running.Run {
+			planner.stopStranger(worker, running)
+			continue
+		}
+		listed[running.Task] = true
+		planner.progress(now, run, running)
+	}
+	if strangers > 0 && len(worker.strangers) == 0 {
+		planner.changed = true
+	}
+	for id, run := range worker.runs {
+		if listed[id] {
+			continue
+		}
+		switch run.phase {
+		case phaseRecovered:
+			planner.release(now, run, "was not started")
+		case phaseRunning, phaseStopping:
+			if !run.confirmed.IsZero() && run.confirmed.Before(sent) {
+				planner.release(now, run, "is not in the worker's list")
+			}
+		}
+	}
+}
+
+// progress takes a row of a worker's list.
+func (planner *Planner) progress(now time.Time, run *run, running *describer.Running) {
+	if running.Checkpoint != "" && run.task.active == run {
+		run.task.checkpoint = running.Checkpoint
+	}
+	if run.phase == phaseStarting || run.phase == phaseRecovered {
+		run.phase = phaseRunning
+		run.confirmed = now
+		run.progressed = now
+	}
+	if running.Percent != run.percent {
+		run.percent = running.Percent
+		run.progressed = now
+	}
+	planner.checkStall(now, run)
+}
+
+// stopStranger stops a run that no record knows, such as one of a job that was cancelled under an earlier leader.
+func (planner *Planner) stopStranger(worker *worker, running *describer.Running) {
+	worker.strangers[running.Task] = running.Run
+	planner.effects.Stops = append(planner.effects.Stops, Stop{
+		Worker: worker.description,
+		Order: describer.StopOrder{
+			Task: running.Task,
+			Run:  running.Run,
+		},
+		Reason: "run is not in the records",
+	})
+	planner.emit(Event{
+		Kind:   EventStrangerStopped,
+		Job:    running.Task.Job,
+		Task:   running.Task.String(),
+		Run:    running.Run,
+		Worker: worker.id,
+	})
+}
+
+// LookFailed says that a worker did not answer a look.
+func (planner *Planner) LookFailed(now time.Time, id describer.WorkerID, err error) {
+	worker := planner.workers[id]
+	if worker == nil {
+		return
+	}
+	if errors.Is(err, describer.ErrReborn) {
+		planner.loseRuns(now, worker, "another incarnation answers")
+		worker.known = false
+	}
+	if worker.silentSince.IsZero() {
+		worker.silentSince = now
+		planner.emit(Event{
+			Kind:   EventWorkerSilent,
+			Worker: worker.id,
+			Detail: err.Error(),
+			Age:    now.Sub(worker.clockAt),
+		})
+	}
+}
+
+// tickWorker ends the runs of a silent worker whose leases have lapsed and repeats orders to stop.
+func (planner *Planner) tickWorker(now time.Time, worker *worker) {
+	if !worker.known || !worker.silentSince.IsZero() {
+		if now.After(worker.leaseUntil) && len(worker.runs) > 0 {
+			planner.loseRuns(now, worker, "leases have lapsed")
+		}
+		if worker.gone && len(worker.runs) == 0 && now.After(worker.leaseUntil) {
+			delete(planner.workers, worker.id)
+		}
+		return
+	}
+	for _, run := range worker.runs {
+		if run.phase == phaseStopping && run.confirmed.IsZero() && now.Sub(run.placed) > stopRepeat {
+			run.placed = now
+			planner.orderStop(run, "order to stop got no answer")
+		}
+	}
+}
+
+// attach books a run on its worker.
+func (planner *Planner) attach(run *run) {
+	task := run.task
+	worker := run.worker
+	worker.runs[run.id()] = run
+	worker.used = worker.used.Add(task.step.Occupied())
+	task.active = run
+	task.state = taskActive
+	task.step.unplaced--
+	if task.step.unplaced == 0 {
+		delete(planner.waiting, task.step)
+	}
+}
+
+// detach frees what a run occupied on its worker.
+func (planner *Planner) detach(run *run) {
+	id := run.id()
+	if run.worker.runs[id] != run {
+		return
+	}
+	delete(run.worker.runs, id)
+	run.worker.used = run.worker.used.Sub(run.task.step.Occupied())
+	planner.changed = true
+}
+
+// release ends a run that is over without an outcome of its own, and queues its task again.
+func (planner *Planner) release(now time.Time, run *run, reason string) {
+	planner.detach(run)
+	task := run.task
+	if task.active != run {
+		return
+	}
+	task.active = nil
+	task.state = taskWaiting
+	task.step.unplaced++
+	planner.touch(task.step.job)
+	if task.step.Gang {
+		planner.breakGang(now, task.step, run.number, reason)
+	}
+	planner.enqueue(task.step)
+}
+
+// breakGang stops the members that are left of a run of a gang.
+func (planner *Planner) breakGang(now time.Time, step *step, number int, reason string) {
+	for _, task := range step.tasks {
+		if task.active != nil && task.active.number == number {
+			planner.stop(now, task.active, "member of the gang is missing: "+reason)
+		}
+	}
+}
+
+// stop orders the end of a run. A run whose order was not sent yet is over at once.
+func (planner *Planner) stop(now time.Time, run *run, reason string) {
+	switch run.phase {
+	case phaseIntended:
+		run.phase = phaseStopping
+		planner.release(now, run, reason)
+	case phaseStopping:
+	default:
+		run.phase = phaseStopping
+		run.confirmed = time.Time{}
+		run.placed = now
+		planner.orderStop(run, reason)
+	}
+}
+
+func (planner *Planner) orderStop(run *run, reason string) {
+	if run.worker.description == nil {
+		return
+	}
+	planner.effects.Stops = append(planner.effects.Stops, Stop{
+		Worker: run.worker.description,
+		Order: describer.StopOrder{
+			Task: run.id(),
+			Run:  run.number,
+		},
+		Reason: reason,
+	})
+}
+
+// launch orders the start of a run whose record is durable.
+func (planner *Planner) launch(now time.Time, run *run) {
+	worker := run.worker
+	if !worker.usable() || run.task.step.job.state.Final() {
+		run.phase = phaseStopping
+		planner.release(now, run, "worker left before the start")
+		return
+	}
+	run.phase = phaseStarting
+	worker.extend(now, startDeadline)
+	planner.effects.Starts = append(planner.effects.Starts, Start{
+		Worker: worker.description,
+		Order: describer.StartOrder{
+			Task:       run.id(),
+			Run:        run.number,
+			Payload:    run.task.step.job.Payload,
+			Checkpoint: run.task.checkpoint,
+			Ticket:     run.ticket,
+			Deadline:   worker.clockNow(now) + startDeadline,
+		},
+		Waited: now.Sub(run.task.step.job.Submitted),
+	})
+}
+
+// find returns the run that an order was about, or nil if it is over.
+func (planner *Planner) find(id describer.WorkerID, task describer.TaskID, number int) *run {
+	worker := planner.workers[id]
+	if worker == nil {
+		return nil
+	}
+	run := worker.runs[task]
+	if run == nil || run.number != number {
+		return nil
+	}
+	return run
+}
+
+// Started takes the answer to an order to start.
+func (planner *Planner) Started(now time.Time, start Start, err error) {
+	run := planner.find(start.Worker.ID, start.Order.Task, start.Order.Run)
+	if run == nil {
+		return
+	}
+	switch {
+	case err == nil && run.phase == phaseStopping:
+		run.confirmed = time.Time{}
+		planner.orderStop(run, "stopped during its start")
+	case err == nil:
+		if run.phase == phaseStarting {
+			run.phase = phaseRunning
+		}
+		run.confirmed = now
+		run.progressed = now
+	case errors.Is(err, describer.ErrUncertain):
+		run.worker.health.suspect(now)
+		planner.stop(now, run, "start got no answer")
+	case errors.Is(err, describer.ErrReborn):
+		run.worker.known = false
+		planner.release(now, run, err.Error())
+	case errors.Is(err, describer.ErrTicket):
+		delete(run.task.step.advice.tickets, run.worker.id)
+		planner.release(now, run, err.Error())
+	default:
+		run.worker.health.suspect(now)
+		planner.release(now, run, err.Error())
+	}
+}
+
+// Stopped takes the answer to an order to stop.
+func (planner *Planner) Stopped(now time.Time, stop Stop, err error) {
+	run := planner.find(stop.Worker.ID, stop.Order.Task, stop.Order.Run)
+	if run == nil || err != nil || run.phase != phaseStopping {
+		return
+	}
+	run.confirmed = now
+}
--- /dev/null
+++ b/internal/cell/recorder/recorder.go
@@ -0,0 +1,221 @@
+// Package recorder writes the decisions of an instance as log lines and counts them.
+package recorder
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/cell/elector"
+	"pomelomoor/internal/cell/leader"
+	"pomelomoor/internal/cell/planner"
+	"pomelomoor/internal/node/logger"
+	"pomelomoor/internal/node/meter"
+)
+
+// Recorder is the journal of a leader and the observer of a desk. It never blocks on its log.
+type Recorder struct {
+	Log   *slog.Logger
+	Scope tally.Scope
+}
+
+var _ leader.Journal = (*Recorder)(nil)
+
+func (recorder *Recorder) log(event logger.Event, attributes ...slog.Attr) {
+	logger.Log(context.Background(), recorder.Log, event, attributes...)
+}
+
+func (recorder *Recorder) count(name string, tags map[string]string) {
+	recorder.Scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+func (recorder *Recorder) latency(name string, tags map[string]string, took time.Duration) {
+	recorder.Scope.Tagged(tags).Histogram(name, meter.LatencyBuckets).RecordDuration(took)
+}
+
+// eventOf is the catalogued event of a planner's event.
+func eventOf(kind planner.EventKind) logger.Event {
+	switch kind {
+	case planner.EventJobPlanned:
+		return logger.EventJobPlanned
+	case planner.EventJobEnded:
+		return logger.EventCellJobEnded
+	case planner.EventRunPlaced:
+		return logger.EventRunPlaced
+	case planner.EventRunEnded:
+		return logger.EventRunEnded
+	case planner.EventRunLost:
+		return logger.EventRunLost
+	case planner.EventWorkerSilent:
+		return logger.EventCellWorkerSilent
+	case planner.EventWorkerBack:
+		return logger.EventCellWorkerAnswers
+	case planner.EventWorkerReborn:
+		return logger.EventCellWorkerRestarted
+	case planner.EventWorkerAvoided:
+		return logger.EventCellWorkerAvoided
+	default:
+		return logger.EventStrayRunStopped
+	}
+}
+
+// Decided logs and counts the planner's decisions.
+func (recorder *Recorder) Decided(events []planner.Event) {
+	for _, event := range events {
+		kind := eventOf(event.Kind)
+		recorder.count("Decisions", map[string]string{
+			"Kind": kind.String(),
+		})
+		attributes := make([]slog.Attr, 0, 6)
+		if event.Job != "" {
+			attributes = append(attributes, slog.String("Job", string(event.Job)))
+		}
+		if event.Task != "" {
+			attributes = append(attributes, slog.String("Task", event.Task), slog.Int("Run", event.Run))
+		}
+		if event.Worker != "" {
+			attributes = append(attributes, slog.String("Worker", string(event.Worker)))
+		}
+		if event.Detail != "" {
+			attributes = append(attributes, slog.String("Detail", event.Detail))
+		}
+		attributes = append(attributes, slog.Duration("Age", event.Age))
+		recorder.log(kind, attributes...)
+	}
+}
+
+// Ordered counts an order to a worker and logs one that failed.
+func (recorder *Recorder) Ordered(order string, task describer.TaskID, run int, worker describer.WorkerID, reason string, took time.Duration, err error) {
+	if err == nil && order == "start" {
+		return
+	}
+	recorder.log(logger.EventOrderFailed,
+		slog.String("Order", order),
+		slog.String("Job", string(task.Job)),
+		slog.String("Task", task.String()),
+		slog.Int("Run", run),
+		slog.String("Worker", string(worker)),
+		slog.String("Detail", reason),
+		slog.Duration("Took", took),
+		logger.Error(err))
+}
+
+// Called counts a call to the platform.
+func (recorder *Recorder) Called(call string, took time.Duration, err error) {
+	outcome := "Done"
+	if err != nil {
+		outcome = "Failed"
+	}
+	tags := map[string]string{
+		"Call":    call,
+		"Outcome": outcome,
+	}
+	recorder.count("Platform.Calls", tags)
+	recorder.latency("Platform.Latency", map[string]string{
+		"Call": call,
+	}, took)
+}
+
+// Recovered logs that a term's state was read.
+func (recorder *Recorder) Recovered(fence describer.Fence, jobs, workers int, took time.Duration) {
+	recorder.log(logger.EventCellRecovered,
+		slog.Int64("Fence", int64(fence)),
+		slog.Int("Items", jobs),
+		slog.Int("Workers", workers),
+		slog.Duration("Took", took))
+}
+
+// Faulty logs an entry of the store that is left out, or a failed reading.
+func (recorder *Recorder) Faulty(what, key string, err error) {
+	recorder.log(logger.EventEntryUnreadable, slog.String("Kind", what), slog.String("Key", key), logger.Error(err))
+}
+
+// Started measures the time from the submission of a job to the start of a run.
+func (recorder *Recorder) Started(queueTime time.Duration) {
+	recorder.latency("Starts.Wait", nil, queueTime)
+}
+
+// Wrote logs records that could not be written.
+func (recorder *Recorder) Wrote(records int, err error) {
+	recorder.count("Records.Failed", nil)
+	recorder.log(logger.EventRecordsNotWritten, slog.Int("Records", records), logger.Error(err))
+}
+
+// Answered logs and measures a caller's call.
+func (recorder *Recorder) Answered(call string, id describer.JobID, queue, outcome string, took time.Duration) {
+	tags := map[string]string{
+		"Call":    call,
+		"Outcome": outcome,
+	}
+	recorder.count("Calls", tags)
+	recorder.latency("Calls.Latency", map[string]string{
+		"Call": call,
+	}, took)
+	event := logger.EventJobStored
+	switch call {
+	case "Submit":
+	case "Cancel":
+		event = logger.EventJobCancelRequested
+	default:
+		return
+	}
+	recorder.log(event,
+		slog.String("Job", string(id)),
+		slog.String("Queue", queue),
+		slog.String("Outcome", outcome),
+		slog.Duration("Took", took))
+}
+
+// Elected logs changes of the instance's lease and leadership.
+func (recorder *Recorder) Elected(event string, fence describer.Fence, err error) {
+	switch event {
+	case "term begins":
+		recorder.log(logger.EventCellTermBegan, slog.Int64("Fence", int64(fence)))
+	case "term ended":
+		recorder.log(logger.EventCellTermEnded, slog.Int64("Fence", int64(fence)), logger.Error(err))
+	default:
+		recorder.log(logger.EventLeaseChanged, slog.String("Detail", event), slog.Int64("Fence", int64(fence)), logger.Error(err))
+	}
+}
+
+// Members logs a change of the members.
+func (recorder *Recorder) Members(view elector.View) {
+	leader := ""
+	if view.Leader != nil {
+		leader = view.Leader.Instance
+	}
+	recorder.log(logger.EventMembersChanged,
+		slog.Int("Members", len(view.Members)),
+		slog.String("Leader", leader),
+		slog.Int64("Fence", int64(view.Fence)))
+}
+
+// Config logs a configuration that came into force.
+func (recorder *Recorder) Config(config *describer.Config) {
+	recorder.log(logger.EventCellConfigInForce,
+		slog.Int64("Version", config.Version),
+		slog.Int("Queues", len(config.Queues)))
+}
+
+// Store logs that the store was lost or is back.
+func (recorder *Recorder) Store(err error) {
+	if err != nil {
+		recorder.log(logger.EventStoreUnreachable, logger.Error(err))
+		return
+	}
+	recorder.log(logger.EventStoreBack)
+}
+
+// Advised logs an answer of the advice service.
+func (recorder *Recorder) Advised(instance string, request planner.AdviceRequest, advice describer.Advice, err error) {
+	recorder.log(logger.EventAdviceAnswered,
+		slog.String("Job", string(request.Step.Job)),
+		slog.String("Step", request.Step.String()),
+		slog.String("Instance", instance),
+		slog.Int("Asked", len(request.Workers)),
+		slog.Int("Allowed", len(advice.Tickets)),
+		logger.Error(err))
+}
--- a/internal/client/commander/commander.go
+++ b/internal/client/commander/commander.go
@@ -53,6 +53,16 @@
 	Log    *slog.Logger
 }
 
+// NodeOptions are the arguments of pomelomoor node.
+type NodeOptions struct {
+	// Settings is the path of the settings file; empty for the one that the platform names.
+	Settings string
+	// Check ends after the settings are checked.
+	Check    bool
+	LogLevel slog.Level
+	Stdout   io.Writer
+}
+
 // Program is the command line with its surroundings.
 type Program struct {
 	Stdin   io.Reader
@@ -61,6 +71,8 @@
 	Version string
 	// Entry runs an entry instance until ctx ends, which is a planned stop, or until it fails.
 	Entry func(ctx context.Context, settings loader.Settings, log *slog.Logger) error
+	// Node runs an instance of a cell on the users' platform until ctx ends, which is a planned stop.
+	Node func(ctx context.Context, options NodeOptions) error
 	// Local runs the whole system in this process and reports.
 	Local func(ctx context.Context, options LocalOptions) error
 }
@@ -89,6 +101,7 @@
 	Timeout time.Duration `default:"30s" help:"Longest time of one call with its repetitions."`
 
 	Entry     entryCommand     `cmd:"" help:"Run an entry instance until it is told to stop."`
+	Node      nodeCommand      `cmd:"" help:"Run an instance of a cell on the users' platform until it is told to stop."`
 	Apply     applyCommand     `cmd:"" help:"Put a configuration in force."`
 	Get       getCommand       `cmd:"" help:"Print the configuration in force with its revision."`
 	Diff      diffCommand      `cmd:"" help:"Show what a configuration would change."`
--- a/internal/client/commander/commands.go
+++ b/internal/client/commander/commands.go
@@ -35,6 +35,25 @@
 	return session.Entry(session.ctx, settings, log)
 }
 
+type nodeCommand struct {
+	Settings string     `placeholder:"FILE" help:"Settings file in the platform's format; by default the one that the platform names in the environment."`
+	Check    bool       `help:"Check the settings, print all faults and exit."`
+	LogLevel slog.Level `default:"INFO" help:"Least level of events to log: DEBUG, INFO, WARN or ERROR."`
+}
+
+// Run logs to standard output.
+func (command *nodeCommand) Run(session *session) error {
+	if session.Node == nil {
+		return errNotLinked
+	}
+	return session.Node(session.ctx, NodeOptions{
+		Settings: command.Settings,
+		Check:    command.Check,
+		LogLevel: command.LogLevel,
+		Stdout:   session.Stdout,
+	})
+}
+
 type applyCommand struct {
 	File string        `arg:"" help:"Configuration, or the edited output of get; - is standard input."`
 	Base string        `placeholder:"REVISION" help:"Revision that the file is based on, or current to overwrite what is in force. The output of get contains it."`
--- a/internal/entry/assembler/state.go
+++ b/internal/entry/assembler/state.go
@@ -10,10 +10,10 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/request/forwarder"
 	"pomelomoor/internal/shard/manager"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/local/coordinator/fake_test.go
+++ b/internal/local/coordinator/fake_test.go
@@ -18,12 +18,12 @@
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/handler"
 	"pomelomoor/internal/entry/presenter"
-	"pomelomoor/internal/local/launcher"
-	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/gateway/sender"
+	"pomelomoor/internal/local/launcher"
+	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/launcher/entries.go
+++ b/internal/local/launcher/entries.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/launcher/launcher.go
+++ b/internal/local/launcher/launcher.go
@@ -13,9 +13,9 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/gateway/sender"
 	"pomelomoor/internal/standin/balancer"
 	"pomelomoor/internal/standin/delayer"
 	"pomelomoor/internal/standin/keeper"
--- a/internal/local/launcher/network.go
+++ b/internal/local/launcher/network.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/gateway/sender"
+	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/standin/delayer"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/local/reporter/examiner.go
+++ b/internal/local/reporter/examiner.go
@@ -7,9 +7,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/local/submitter"
-	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/local/reporter/measures.go
+++ b/internal/local/reporter/measures.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/gateway/storer"
+	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/local/reporter/reporter_test.go
+++ b/internal/local/reporter/reporter_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
+	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/local/reporter"
 	"pomelomoor/internal/local/submitter"
-	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/local/submitter/submitter.go
+++ b/internal/local/submitter/submitter.go
@@ -15,8 +15,8 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/client/caller"
-	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/gateway/sender"
+	"pomelomoor/internal/local/planner"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/archiver/archiver.go
+++ b/internal/measure/archiver/archiver.go
@@ -12,9 +12,9 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/measure/profiler"
-	"pomelomoor/internal/gateway/storer"
 	"pomelomoor/internal/shard/journaler"
 	"pomelomoor/internal/shard/recordpb"
 	"pomelomoor/internal/standin/keeper"
--- a/internal/measure/archiver/config.go
+++ b/internal/measure/archiver/config.go
@@ -9,9 +9,9 @@
 
 	"pomelomoor/internal/config/applier"
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/measure/profiler"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/prober/prober.go
+++ b/internal/measure/prober/prober.go
@@ -11,13 +11,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/measure/profiler"
 	"pomelomoor/internal/member/exchanger"
 	"pomelomoor/internal/member/messenger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/measure/prober/sync.go
+++ b/internal/measure/prober/sync.go
@@ -5,8 +5,8 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/measure/profiler"
 	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/measure/profiler"
 	"pomelomoor/internal/standin/worker"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/measure/sampler/cell.go
+++ b/internal/measure/sampler/cell.go
@@ -9,9 +9,9 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/client/caller"
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/measure/imitator"
 	"pomelomoor/internal/node/loader"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/standin/keeper"
 	"pomelomoor/internal/standin/runner"
 	"pomelomoor/internal/standin/worker"
--- a/internal/member/exchanger/exchanger.go
+++ b/internal/member/exchanger/exchanger.go
@@ -10,11 +10,11 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/member/messenger"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/gateway/lister"
+	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -10,9 +10,9 @@
 
 	"pgregory.net/rapid"
 
+	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
-	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -82,4 +82,31 @@
 	EventConfigFetched     Event = 803
 	EventConfigRefused     Event = 804
 	EventConfigWatchFailed Event = 805
+
+	// Cell.
+	EventCellTermBegan       Event = 901
+	EventCellTermEnded       Event = 902
+	EventCellRecovered       Event = 903
+	EventJobStored           Event = 904
+	EventJobCancelRequested  Event = 905
+	EventJobPlanned          Event = 906
+	EventRunPlaced           Event = 907
+	EventOrderFailed         Event = 908
+	EventRunEnded            Event = 909
+	EventRunLost             Event = 910
+	EventCellJobEnded        Event = 911
+	EventCellWorkerSilent    Event = 912
+	EventCellWorkerAnswers   Event = 913
+	EventCellWorkerRestarted Event = 914
+	EventCellWorkerAvoided   Event = 915
+	EventStrayRunStopped     Event = 916
+	EventAdviceAnswered      Event = 917
+	EventRecordsNotWritten   Event = 918
+	EventEntryUnreadable     Event = 919
+	EventSettingsReloaded    Event = 920
+	EventSettingsKept        Event = 921
+	EventCellConfigInForce   Event = 922
+	EventLinesLeftOut        Event = 923
+	EventMembersChanged      Event = 924
+	EventLeaseChanged        Event = 925
 )
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -13,9 +13,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pomelomoor/internal/config/parser"
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/request/retrier"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/request/forwarder/deadline_test.go
+++ b/internal/request/forwarder/deadline_test.go
@@ -10,9 +10,9 @@
 	"testing/synctest"
 	"time"
 
+	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/node/logger"
-	"pomelomoor/internal/gateway/requester"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -18,9 +18,9 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/gateway/requester"
+	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/request/retrier"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/gateway/requester"
+	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/request/router"
 	"pomelomoor/internal/work/descriptor"
 )
--- a/internal/request/retrier/outcome.go
+++ b/internal/request/retrier/outcome.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/gateway/requester"
+	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/work/descriptor"
 )
 
--- a/internal/shard/dispatcher/dispatcher.go
+++ b/internal/shard/dispatcher/dispatcher.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/placement/estimator"
 	"pomelomoor/internal/gateway/executor"
+	"pomelomoor/internal/placement/estimator"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/arbiter"
 	"pomelomoor/internal/shard/recorder"
--- a/internal/shard/driver/driver.go
+++ b/internal/shard/driver/driver.go
@@ -17,10 +17,10 @@
 	"golang.org/x/time/rate"
 
 	"pomelomoor/internal/config/parser"
-	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/gateway/storer"
+	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/shard/allocator"
 	"pomelomoor/internal/shard/awaiter"
 	"pomelomoor/internal/shard/caller"
