--- a/cmd/pomelomoor/node.go
+++ b/cmd/pomelomoor/node.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"pomelomoor/internal/cell/assembler"
 	"pomelomoor/internal/client/commander"
@@ -12,6 +15,10 @@
 
 // runNode runs an instance of a cell on the users' platform.
 func runNode(ctx context.Context, options commander.NodeOptions) error {
+	// A signal that nobody takes would end the process, so it is taken before anything else happens.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	queue, flush := logger.NewQueue(options.Stdout)
 	defer flush()
 	log := logger.New(queue, options.LogLevel)
@@ -30,6 +37,7 @@
 	node, cleanup, err := assembler.New(assembler.Options{
 		Settings:     settings,
 		SettingsPath: path,
+		Reload:       reload,
 		Log:          log,
 	})
 	if err != nil {
--- a/internal/cell/assembler/assembler.go
+++ b/internal/cell/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -54,13 +55,16 @@
 	Settings platform.Settings
 	// SettingsPath is where changed settings are read.
 	SettingsPath string
-	Log          *slog.Logger
+	// Reload receives when the settings file may have changed; nil if nobody tells.
+	Reload <-chan os.Signal
+	Log    *slog.Logger
 }
 
 // Node is one instance.
 type Node struct {
 	settings  platform.Settings
 	path      string
+	reload    <-chan os.Signal
 	log       *slog.Logger
 	meter     *meter.Meter
 	recorder  *recorder.Recorder
@@ -85,6 +89,7 @@
 	node := &Node{
 		settings: options.Settings,
 		path:     options.SettingsPath,
+		reload:   options.Reload,
 		log:      options.Log,
 		meter:    measures,
 		recorder: &recorder.Recorder{
--- a/internal/cell/assembler/settings.go
+++ b/internal/cell/assembler/settings.go
@@ -11,7 +11,7 @@
 	"pomelomoor/platform"
 )
 
-// followSettings looks for changes of the settings file. Addresses stay as they were at the start, since
+// followSettings looks for changes of the settings file, at a signal at once. Addresses stay as they were at the start, since
 // they belong to the machine; changed bounds hold from the next term on.
 func (node *Node) followSettings(ctx context.Context) error {
 	if node.path == "" {
@@ -29,6 +29,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-node.reload:
 		}
 		document, err := os.ReadFile(node.path)
 		if err != nil || bytes.Equal(document, last) {
