planner: ask the advice service for as many workers as a step needs; tickets expire one by one

Change: the number of workers follows from the tasks, the learned share of allowed workers and the tasks that fit on one; each ticket has its own expiry.

--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -14,8 +14,13 @@
 	adviceRepeat = 400 * time.Millisecond
 	// adviceLoss is after which time a question counts as lost.
 	adviceLoss = 4 * time.Second
-	// mostAsked is how many workers one question names. Source: the objectives count one call on 30 workers.
-	mostAsked = 30
+	// usualAsked is how many workers one question names if so many suffice. Source: the objectives count
+	// one call on 30 workers.
+	usualAsked = 30
+	// mostAsked is how many workers one question may name. Source: the protocol page.
+	mostAsked = 100
+	// askedSurplus is by how much more workers are asked for than would just do.
+	askedSurplus = 1.5
 	// leastAsked is the least number of workers that a question names.
 	leastAsked = 4
 	// usualAllowed is the share of the workers that is allowed, until it is learned.
@@ -27,22 +32,31 @@
 	// asked is when the open question was sent; zero if there is none.
 	asked time.Time
 	last  time.Time
-	// tickets holds the tickets of the last answers, valid until expires.
-	tickets map[describer.WorkerID]string
-	expires time.Time
+	// tickets holds the tickets of the last answers.
+	tickets map[describer.WorkerID]ticket
 	// allowed tells of the workers that were asked for whether they may run the step.
 	allowed map[describer.WorkerID]bool
 	// starved means that no allowed worker had room at the last pass.
 	starved bool
 }
 
+// ticket allows one worker to run a step until it expires.
+type ticket struct {
+	text    string
+	expires time.Time
+}
+
+func (ticket ticket) valid(now time.Time) bool {
+	return now.Add(ticketMargin).Before(ticket.expires)
+}
+
 // ticket returns the ticket of worker for step. Without advice, all workers may run the step.
 func (step *step) ticket(now time.Time, worker *worker) (string, bool) {
 	if step.job.policy.Advice == nil {
 		return "", true
 	}
-	ticket, found := step.advice.tickets[worker.id]
-	return ticket, found && now.Add(ticketMargin).Before(step.advice.expires)
+	ticket := step.advice.tickets[worker.id]
+	return ticket.text, ticket.valid(now)
 }
 
 // refreshAdvice asks for tickets for a waiting step when it has none or they are of no use.
@@ -58,11 +72,14 @@
 		}
 		return
 	}
-	valid := len(advice.tickets) > 0 && now.Add(ticketMargin).Before(advice.expires)
+	valid := false
+	for _, ticket := range advice.tickets {
+		valid = valid || ticket.valid(now)
+	}
 	if valid && (!advice.starved || now.Sub(advice.last) < adviceRepeat) {
 		return
 	}
-	workers := planner.chooseAsked(now, step, valid)
+	workers := planner.chooseAsked(now, step)
 	if len(workers) == 0 {
 		return
 	}
@@ -78,7 +95,7 @@
 
 // chooseAsked returns the workers to ask for: allowed ones whose tickets have to be renewed, and those
 // of the others that have the most room.
-func (planner *Planner) chooseAsked(now time.Time, step *step, valid bool) []describer.WorkerID {
+func (planner *Planner) chooseAsked(now time.Time, step *step) []describer.WorkerID {
 	type candidate struct {
 		id    describer.WorkerID
 		score float64
@@ -86,7 +103,7 @@
 	var candidates []candidate
 	for _, worker := range planner.workers {
 		allowed, known := step.advice.allowed[worker.id]
-		if known && (!allowed || valid) {
+		if known && (!allowed || step.advice.tickets[worker.id].valid(now)) {
 			continue
 		}
 		if !worker.suits(step) || !worker.usable() || now.Before(worker.health.avoided) {
@@ -101,11 +118,6 @@
 			score: score / worker.health.factor(),
 		})
 	}
-	if len(candidates) == 0 && !valid {
-		// All workers were refused; their number may have changed since.
-		clear(step.advice.allowed)
-		return nil
-	}
 	slices.SortFunc(candidates, func(left, right candidate) int {
 		switch {
 		case left.score > right.score:
@@ -126,17 +138,42 @@
 	return workers
 }
 
-// askedCount is how many workers a question about step names.
+// askedCount is how many workers a question about step names: so many that those that are allowed and
+// have room are likely to take all tasks that wait.
 func (planner *Planner) askedCount(step *step) int {
-	if step.Gang && step.Count > 2 {
-		return mostAsked
-	}
 	share := step.job.queue.allowed
 	if share == 0 {
 		share = usualAllowed
 	}
-	wanted := float64(step.unplaced)/share*1.5 + 2
-	return min(max(int(wanted), leastAsked), mostAsked)
+	wanted := float64(step.unplaced)/planner.perWorker(step)/share*askedSurplus + 2
+	most := usualAsked
+	if wanted > usualAsked {
+		most = mostAsked
+	}
+	return min(max(int(wanted), leastAsked), most)
+}
+
+// perWorker is how many tasks of step a usual worker takes beside other work.
+func (planner *Planner) perWorker(step *step) float64 {
+	most := 1.0
+	needs := step.Occupied()
+	for _, worker := range planner.workers {
+		if !worker.suits(step) {
+			continue
+		}
+		free := worker.description.Capacity.Sub(worker.used)
+		count := 0
+		for fits(needs, free) && count < step.Count {
+			free = free.Sub(needs)
+			count++
+		}
+		most += float64(count)
+	}
+	average := most / float64(max(len(planner.workers), 1))
+	if step.MostPerWorker > 0 {
+		average = min(average, float64(step.MostPerWorker))
+	}
+	return max(average, 0.5)
 }
 
 // roomFor is the free share of worker for tasks of step.
@@ -165,22 +202,22 @@
 	if advice.allowed == nil {
 		advice.allowed = map[describer.WorkerID]bool{}
 	}
-	if now.After(advice.expires) || advice.tickets == nil {
-		advice.tickets = map[describer.WorkerID]string{}
-	}
-	for _, worker := range asked {
-		advice.allowed[worker] = false
-	}
-	for _, ticket := range answer.Tickets {
-		advice.allowed[ticket.Worker] = true
-		advice.tickets[ticket.Worker] = ticket.Ticket
+	if advice.tickets == nil {
+		advice.tickets = map[describer.WorkerID]ticket{}
 	}
 	validity := answer.Validity
 	if validity == 0 && step.job.policy.Advice != nil {
 		validity = step.job.policy.Advice.Validity
 	}
-	if expires := now.Add(validity); len(advice.tickets) == len(answer.Tickets) || expires.Before(advice.expires) {
-		advice.expires = expires
+	for _, worker := range asked {
+		advice.allowed[worker] = false
+	}
+	for _, entry := range answer.Tickets {
+		advice.allowed[entry.Worker] = true
+		advice.tickets[entry.Worker] = ticket{
+			text:    entry.Ticket,
+			expires: now.Add(validity),
+		}
 	}
 	step.job.queue.allowed = max(learn(step.job.queue.allowed, float64(len(answer.Tickets))/float64(max(len(asked), 1))), 0.05)
 	planner.changed = true
