planner: bound the cost of a placement pass under much waiting work

Change: workers are ranked once a pass; a step with tickets looks only at the workers that they name; a pass is followed by a pause of four times its length; no questions behind 40 steps without room; questions go to the instance with the least delay as learned.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -20,6 +20,8 @@
 	longQuestion = 150 * time.Millisecond
 	// callMargin is added to the time of the questions before a call for the way and the service's delay.
 	callMargin = 1500 * time.Millisecond
+	// wayShare is the share of a new sample in the learned time of the way, as a divisor.
+	wayShare = 4
 	// failurePause is how long an instance that failed gets no question.
 	failurePause = time.Second
 )
@@ -38,10 +40,12 @@
 }
 
 type instance struct {
-	name    string
-	open    int
-	load    time.Duration
-	long    int
+	name string
+	open int
+	load time.Duration
+	long int
+	// way is the time of a question beyond that of the advice service itself, as learned.
+	way     time.Duration
 	avoided time.Time
 }
 
@@ -105,7 +109,12 @@
 	advisor.waiting = rest
 }
 
-// choose returns the instance with the least load, or nil.
+// delay is how long a question would wait at the instance and be on its way.
+func (instance *instance) delay() time.Duration {
+	return instance.load + instance.way
+}
+
+// choose returns the instance with the least delay, or nil.
 func (advisor *Advisor) choose(now time.Time, long bool) *instance {
 	if long && 2*advisor.long >= len(advisor.instances)+1 {
 		return nil
@@ -115,7 +124,7 @@
 		if instance.open >= mostOpen || now.Before(instance.avoided) || long && instance.open > 0 {
 			continue
 		}
-		if best == nil || instance.load < best.load || instance.load == best.load && instance.name < best.name {
+		if best == nil || instance.delay() < best.delay() || instance.delay() == best.delay() && instance.name < best.name {
 			best = instance
 		}
 	}
@@ -124,12 +133,15 @@
 
 func (advisor *Advisor) send(ctx context.Context, instance *instance, request planner.AdviceRequest, load time.Duration, long bool) {
 	call, cancel := context.WithTimeout(ctx, load+callMargin)
+	began := time.Now()
 	err := advisor.ask(call, instance.name, request)
+	way := max(time.Since(began)-load, 0)
 	cancel()
 	advisor.mutex.Lock()
 	defer advisor.mutex.Unlock()
 	instance.open--
 	instance.load -= request.Takes
+	instance.way += (way - instance.way) / wayShare
 	if long {
 		instance.long--
 		advisor.long--
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -23,6 +23,9 @@
 const (
 	// passInterval is the least time between two placement passes, so that events are handled together.
 	passInterval = 10 * time.Millisecond
+	// passPause is the pause after a pass in multiples of its time, so that passes over much waiting work
+	// leave the processor to orders and answers.
+	passPause = 4
 	// tickInterval is how often due times, lapsed leases and tickets are looked at.
 	tickInterval = 50 * time.Millisecond
 	// inboxPace lets submissions come together.
@@ -360,11 +363,13 @@
 		case <-leader.passed:
 		}
 		leader.mutex.Lock()
-		leader.planner.Pass(time.Now())
+		began := time.Now()
+		leader.planner.Pass(began)
+		took := time.Since(began)
 		effects := leader.planner.Take()
 		leader.mutex.Unlock()
 		leader.carryOut(ctx, effects)
-		watcher.Pause(ctx, passInterval)
+		watcher.Pause(ctx, max(passInterval, passPause*took))
 	}
 }
 
--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -19,6 +19,8 @@
 	usualAsked = 30
 	// mostAsked is how many workers one question may name. Source: the protocol page.
 	mostAsked = 100
+	// leastPerWorker is the least estimate of the tasks that a worker takes, for one that is full at the moment.
+	leastPerWorker = 0.5
 	// askedSurplus is by how much more workers are asked for than would just do.
 	askedSurplus = 1.5
 	// leastAsked is the least number of workers that a question names.
@@ -50,15 +52,6 @@
 	return now.Add(ticketMargin).Before(ticket.expires)
 }
 
-// ticket returns the ticket of worker for step. Without advice, all workers may run the step.
-func (step *step) ticket(now time.Time, worker *worker) (string, bool) {
-	if step.job.policy.Advice == nil {
-		return "", true
-	}
-	ticket := step.advice.tickets[worker.id]
-	return ticket.text, ticket.valid(now)
-}
-
 // refreshAdvice asks for tickets for a waiting step when it has none or they are of no use.
 func (planner *Planner) refreshAdvice(now time.Time, step *step) {
 	policy := step.job.policy.Advice
@@ -96,44 +89,23 @@
 // chooseAsked returns the workers to ask for: allowed ones whose tickets have to be renewed, and those
 // of the others that have the most room.
 func (planner *Planner) chooseAsked(now time.Time, step *step) []describer.WorkerID {
-	type candidate struct {
-		id    describer.WorkerID
-		score float64
-	}
-	var candidates []candidate
-	for _, worker := range planner.workers {
-		allowed, known := step.advice.allowed[worker.id]
-		if known && (!allowed || step.advice.tickets[worker.id].valid(now)) {
-			continue
-		}
-		if !worker.suits(step) || !worker.usable() || now.Before(worker.health.avoided) {
-			continue
+	count := planner.askedCount(step)
+	workers := make([]describer.WorkerID, 0, count)
+	for _, worker := range planner.roomiest {
+		if len(workers) == count {
+			break
 		}
-		score := planner.roomFor(worker, step)
-		if allowed {
-			score += 2
+		if step.advice.allowed[worker.id] && !step.advice.tickets[worker.id].valid(now) && worker.suits(step) {
+			workers = append(workers, worker.id)
 		}
-		candidates = append(candidates, candidate{
-			id:    worker.id,
-			score: score / worker.health.factor(),
-		})
 	}
-	slices.SortFunc(candidates, func(left, right candidate) int {
-		switch {
-		case left.score > right.score:
-			return -1
-		case left.score < right.score:
-			return 1
-		case left.id < right.id:
-			return -1
-		default:
-			return 1
+	for _, worker := range planner.roomiest {
+		if len(workers) == count {
+			break
+		}
+		if _, known := step.advice.allowed[worker.id]; !known && worker.suits(step) {
+			workers = append(workers, worker.id)
 		}
-	})
-	count := min(planner.askedCount(step), len(candidates))
-	workers := make([]describer.WorkerID, 0, count)
-	for _, candidate := range candidates[:count] {
-		workers = append(workers, candidate.id)
 	}
 	return workers
 }
@@ -153,37 +125,58 @@
 	return min(max(int(wanted), leastAsked), most)
 }
 
-// perWorker is how many tasks of step a usual worker takes beside other work.
+// perWorker is how many tasks of step the worker in the middle of the ranking by room takes.
 func (planner *Planner) perWorker(step *step) float64 {
-	most := 1.0
+	if len(planner.roomiest) == 0 {
+		return 1
+	}
+	worker := planner.roomiest[len(planner.roomiest)/2]
+	free := worker.description.Capacity.Sub(worker.used)
 	needs := step.Occupied()
-	for _, worker := range planner.workers {
-		if !worker.suits(step) {
-			continue
-		}
-		free := worker.description.Capacity.Sub(worker.used)
-		count := 0
-		for fits(needs, free) && count < step.Count {
-			free = free.Sub(needs)
-			count++
-		}
-		most += float64(count)
+	count := float64(step.Count)
+	if needs.MilliCPU > 0 {
+		count = min(count, float64(free.MilliCPU)/float64(needs.MilliCPU))
+	}
+	if needs.MemoryBytes > 0 {
+		count = min(count, float64(free.MemoryBytes)/float64(needs.MemoryBytes))
 	}
-	average := most / float64(max(len(planner.workers), 1))
 	if step.MostPerWorker > 0 {
-		average = min(average, float64(step.MostPerWorker))
+		count = min(count, float64(step.MostPerWorker))
 	}
-	return max(average, 0.5)
+	return max(count, leastPerWorker)
 }
 
-// roomFor is the free share of worker for tasks of step.
-func (planner *Planner) roomFor(worker *worker, step *step) float64 {
+// room is the free share of worker, less if it is slow.
+func (worker *worker) room() float64 {
 	capacity := worker.description.Capacity
 	if capacity.MilliCPU == 0 {
 		return 0
 	}
 	free := capacity.Sub(worker.used)
-	return float64(free.MilliCPU) / float64(capacity.MilliCPU)
+	return float64(free.MilliCPU) / float64(capacity.MilliCPU) / worker.health.factor()
+}
+
+// rank orders the workers that may be given work by their room, for one pass.
+func (planner *Planner) rank(now time.Time) {
+	planner.roomiest = planner.roomiest[:0]
+	for _, worker := range planner.workers {
+		if worker.usable() && !now.Before(worker.health.avoided) {
+			worker.rank = worker.room()
+			planner.roomiest = append(planner.roomiest, worker)
+		}
+	}
+	slices.SortFunc(planner.roomiest, func(left, right *worker) int {
+		switch {
+		case left.rank > right.rank:
+			return -1
+		case left.rank < right.rank:
+			return 1
+		case left.id < right.id:
+			return -1
+		default:
+			return 1
+		}
+	})
 }
 
 // Advised takes the answer to a question that named asked.
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -12,6 +12,10 @@
 // Source: the rules of the platform's users.
 const lateFactor = 3
 
+// mostStarved is the number of steps without room behind which no step asks for advice: its tickets would
+// expire before its turn.
+const mostStarved = 40
+
 // objective is the time from an occurrence's due time in which its caller wants it done.
 func (planner *Planner) objective(step *step) time.Duration {
 	policy := &step.job.policy
@@ -77,9 +81,16 @@
 		orders = append(orders, planner.orderOf(now, step))
 	}
 	slices.SortFunc(orders, compareOrders)
+	planner.rank(now)
+	starved := 0
 	for _, order := range orders {
-		planner.refreshAdvice(now, order.step)
+		if starved < mostStarved {
+			planner.refreshAdvice(now, order.step)
+		}
 		planner.placeStep(now, order.step)
+		if order.step.advice.starved {
+			starved++
+		}
 	}
 }
 
@@ -177,30 +188,37 @@
 	step := task.step
 	needs := step.Occupied()
 	var bestScore float64
-	for _, worker := range planner.workers {
-		if !worker.usable() || now.Before(worker.health.avoided) || !worker.suits(step) {
-			continue
-		}
-		ticket, allowed := step.ticket(now, worker)
-		if !allowed {
-			continue
-		}
+	consider := func(worker *worker, ticket string) {
 		free := worker.description.Capacity.Sub(worker.used)
 		more := booked[worker]
 		for range more {
 			free = free.Sub(needs)
 		}
 		if !fits(needs, free) {
-			continue
+			return
 		}
 		if step.MostPerWorker > 0 && worker.count(step)+more >= step.MostPerWorker {
-			continue
+			return
 		}
 		score := planner.score(worker, task, free)
 		if best == nil || score < bestScore || score == bestScore && worker.id < best.id {
 			best, bestTicket, bestScore = worker, ticket, score
 		}
 	}
+	if step.job.policy.Advice == nil {
+		for _, worker := range planner.roomiest {
+			if worker.suits(step) {
+				consider(worker, "")
+			}
+		}
+		return best, bestTicket
+	}
+	for id, ticket := range step.advice.tickets {
+		worker := planner.workers[id]
+		if worker != nil && ticket.valid(now) && worker.usable() && !now.Before(worker.health.avoided) && worker.suits(step) {
+			consider(worker, ticket.text)
+		}
+	}
 	return best, bestTicket
 }
 
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -49,6 +49,8 @@
 	// ended holds the jobs that reached a final state, in order of their ends.
 	ended   []*job
 	workers map[describer.WorkerID]*worker
+	// roomiest holds the workers that may be given work in this pass, the one with the most room first.
+	roomiest []*worker
 	// waiting holds the steps that have tasks to place.
 	waiting map[*step]struct{}
 	// timed holds the jobs with occurrences that are not due yet.
@@ -468,9 +470,8 @@
 	for _, worker := range planner.workers {
 		planner.tickWorker(now, worker)
 	}
-	for step := range planner.waiting {
-		planner.refreshAdvice(now, step)
-	}
+	// Tickets expire and workers are no longer avoided as time passes.
+	planner.changed = planner.changed || len(planner.waiting) > 0
 	planner.forget(now)
 }
 
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -44,6 +44,8 @@
 	seen    int64
 	unseen  []unseenEnd
 	health  health
+	// rank is the room at the begin of a pass.
+	rank float64
 }
 
 // unseenEnd is an end that the worker must not forget before a record is durable.
