leader: store starts and ends within 8 ms and look at workers again at once

Change: records are written 8 ms after a change instead of on a 25 ms tick; looks follow after 5 ms; a second question to the advice service may follow after the time of one; questions name some spare workers.

--- a/internal/cell/desk/desk.go
+++ b/internal/cell/desk/desk.go
@@ -208,7 +208,7 @@
 func (desk *Desk) State(ctx context.Context, id describer.JobID) (state describer.JobState, err error) {
 	began := time.Now()
 	defer func() {
-		desk.observe("State", id, "", began, err)
+		desk.observe("State", id, state.String(), began, err)
 	}()
 	if leader := desk.options.Leader(); leader.IsValid() {
 		call, cancel := context.WithTimeout(ctx, leaderTimeout)
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -29,13 +29,15 @@
 	// tickInterval is how often due times, lapsed leases and tickets are looked at.
 	tickInterval = 50 * time.Millisecond
 	// inboxPace lets submissions come together.
-	inboxPace = 20 * time.Millisecond
+	inboxPace = 10 * time.Millisecond
 	// registryPace lets entries of workers come together.
 	registryPace = 100 * time.Millisecond
 	// lookPause is the least time between two looks at a worker, so that ends come together.
-	lookPause = 25 * time.Millisecond
+	lookPause = 5 * time.Millisecond
 	// failedLookPause is the pause after a look without an answer.
 	failedLookPause = 100 * time.Millisecond
+	// unseenPause is how often a look that waits for records looks whether they are stored.
+	unseenPause = 3 * time.Millisecond
 	// mostUnseenWait is how long a look waits for the records of ends that the worker would list again.
 	mostUnseenWait = 400 * time.Millisecond
 )
@@ -75,6 +77,7 @@
 
 	mutex   sync.Mutex
 	planner *planner.Planner
+	records *persister.Persister
 	looking map[describer.WorkerID]bool
 	passed  chan struct{}
 }
@@ -158,6 +161,7 @@
 		leader: leader,
 	}, leader.term.Key)
 	records.Observe = leader.options.Journal.Wrote
+	leader.records = records
 	leader.restore(now, records, recordItems, inboxItems)
 	leader.snapshotWorkers(ctx, now, workerItems)
 	leader.takeCancels(now, inboxItems)
@@ -341,11 +345,13 @@
 	return leader.planner.Pending(queue), true
 }
 
+// signal has a pass run soon and changed records written.
 func (leader *Leader) signal() {
 	select {
 	case leader.passed <- struct{}{}:
 	default:
 	}
+	leader.records.Wake()
 }
 
 // decide runs placement passes after events and at each tick.
@@ -368,6 +374,7 @@
 		took := time.Since(began)
 		effects := leader.planner.Take()
 		leader.mutex.Unlock()
+		leader.records.Wake()
 		leader.carryOut(ctx, effects)
 		watcher.Pause(ctx, max(passInterval, passPause*took))
 	}
@@ -478,7 +485,7 @@
 		if !unseen || worker == nil || ctx.Err() != nil || time.Since(began) > mostUnseenWait {
 			return worker, order
 		}
-		watcher.Pause(ctx, passInterval)
+		watcher.Pause(ctx, unseenPause)
 	}
 }
 
--- a/internal/cell/persister/persister.go
+++ b/internal/cell/persister/persister.go
@@ -25,8 +25,11 @@
 )
 
 const (
-	// batchInterval is the least time between two writes, so that decisions are written together.
-	batchInterval = 25 * time.Millisecond
+	// batchInterval is the least time between two writes, so that decisions are written together. Starts
+	// and the ends of jobs wait for it.
+	batchInterval = 8 * time.Millisecond
+	// retryInterval is how often records are written that an earlier write could not store.
+	retryInterval = 50 * time.Millisecond
 	// mostWrites is the number of writes that may be open at once.
 	mostWrites = 4
 	// perRecord is the number of entries that a record takes in a change: its expectation, its write and
@@ -61,6 +64,7 @@
 	retry     map[describer.JobID]bool
 	open      int
 	results   chan result
+	wake      chan struct{}
 	// Observe, if set, is told of each write that failed.
 	Observe func(jobs int, err error)
 }
@@ -94,6 +98,7 @@
 		busy:      map[describer.JobID]bool{},
 		retry:     map[describer.JobID]bool{},
 		results:   make(chan result, mostWrites),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
@@ -102,10 +107,22 @@
 	persister.revisions[id] = revision
 }
 
+// Wake says that records may have changed.
+func (persister *Persister) Wake() {
+	select {
+	case persister.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run writes until ctx ends or another instance leads.
 func (persister *Persister) Run(ctx context.Context) error {
-	ticker := time.NewTicker(batchInterval)
-	defer ticker.Stop()
+	retry := time.NewTicker(retryInterval)
+	defer retry.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
+	waiting := true
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,8 +132,17 @@
 			if err := persister.take(result); err != nil {
 				return err
 			}
-		case <-ticker.C:
+		case <-persister.wake:
+		case <-retry.C:
+		case <-due.C:
+			waiting = false
+			last = time.Now()
 			persister.flush(ctx)
+			continue
+		}
+		if !waiting {
+			waiting = true
+			due.Reset(max(batchInterval-time.Since(last), 0))
 		}
 	}
 }
--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -10,8 +10,11 @@
 const (
 	// ticketMargin is how long a ticket has to be valid yet when it is used.
 	ticketMargin = 200 * time.Millisecond
-	// adviceRepeat is the least time between two questions about one step while tickets are valid.
-	adviceRepeat = 400 * time.Millisecond
+	// adviceRepeat is the least time between two questions about one step while tickets are valid; it is
+	// longer where a question takes longer.
+	adviceRepeat = 60 * time.Millisecond
+	// sparePatience is the time that further workers in a question may cost; they save a second question.
+	sparePatience = 5 * time.Millisecond
 	// adviceLoss is after which time a question counts as lost.
 	adviceLoss = 4 * time.Second
 	// usualAsked is how many workers one question names if so many suffice. Source: the objectives count
@@ -69,7 +72,7 @@
 	for _, ticket := range advice.tickets {
 		valid = valid || ticket.valid(now)
 	}
-	if valid && (!advice.starved || now.Sub(advice.last) < adviceRepeat) {
+	if valid && (!advice.starved || now.Sub(advice.last) < max(adviceRepeat, policy.Base)) {
 		return
 	}
 	workers := planner.chooseAsked(now, step)
@@ -118,6 +121,9 @@
 		share = usualAllowed
 	}
 	wanted := float64(step.unplaced)/planner.perWorker(step)/share*askedSurplus + 2
+	if each := step.job.policy.Advice.PerWorker; each > 0 {
+		wanted += float64(sparePatience / each)
+	}
 	most := usualAsked
 	if wanted > usualAsked {
 		most = mostAsked
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -159,6 +159,8 @@
 	case "Submit":
 	case "Cancel":
 		event = logger.EventJobCancelRequested
+	case "State":
+		event = logger.EventJobStateTold
 	default:
 		return
 	}
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -634,4 +634,11 @@
 		Text:    "lease of the instance changed",
 		Meaning: "`Detail` tells what became of the instance's lease in the store.",
 	},
+	{
+		Event:   EventJobStateTold,
+		Level:   slog.LevelDebug,
+		Name:    "JobStateTold",
+		Text:    "state of a job told",
+		Meaning: "A caller asked for the state of the job and got `Outcome` after `Took`.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -109,4 +109,5 @@
 	EventLinesLeftOut        Event = 923
 	EventMembersChanged      Event = 924
 	EventLeaseChanged        Event = 925
+	EventJobStateTold        Event = 926
 )
