relayer: reach the store by way of another instance, and reject at once when it is lost

Change: the instance knows from its lease renewals and watches whether the store answers; a call is then rejected at once, or carried by the leader or a neighbour that reaches the store.

--- a/internal/cell/assembler/assembler.go
+++ b/internal/cell/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"pomelomoor/internal/cell/messenger"
 	"pomelomoor/internal/cell/planner"
 	"pomelomoor/internal/cell/recorder"
+	"pomelomoor/internal/cell/relayer"
 	"pomelomoor/internal/cell/watcher"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/node/meter"
@@ -69,6 +70,7 @@
 	meter     *meter.Meter
 	recorder  *recorder.Recorder
 	store     *platform.Store
+	relayer   *relayer.Relayer
 	workers   *platform.Workers
 	advice    *platform.Advice
 	messenger *messenger.Messenger
@@ -106,12 +108,19 @@
 	node.advice.Observe = node.recorder.Called
 	node.messenger, closeMessenger = messenger.New()
 	node.electing, node.resign = context.WithCancel(context.Background())
+	node.relayer = &relayer.Relayer{
+		Direct:  node.store,
+		Peer:    node.messenger,
+		Peers:   node.relays,
+		Changed: node.recorder.Store,
+	}
 	node.desk = desk.New(desk.Options{
-		Store:   node.store,
-		Leader:  node.leaderAddress,
-		State:   node.askState,
-		Pending: node.askPending,
-		Observe: node.recorder.Answered,
+		Store:     node.relayer,
+		Reachable: node.relayer.Reachable,
+		Leader:    node.leaderAddress,
+		State:     node.askState,
+		Pending:   node.askPending,
+		Observe:   node.recorder.Answered,
 	})
 	node.elector = elector.New(elector.Options{
 		Store: node.store,
@@ -124,7 +133,7 @@
 		CPUShare: options.Settings.CPUShare,
 		Lead:     node.lead,
 		Changed:  node.membersChanged,
-		Contact:  node.contact,
+		Contact:  node.relayer.Contact,
 		Observe:  node.recorder.Elected,
 	})
 	return node, func() {
@@ -187,7 +196,7 @@
 	})
 	tree.Add("Config", node.followConfig)
 	tree.Add("Peers", func(ctx context.Context) error {
-		return messenger.Serve(ctx, node.settings.Peer, node, node.advice)
+		return messenger.Serve(ctx, node.settings.Peer, node, node.advice, node.relayer)
 	})
 	tree.Add("Settings", node.followSettings)
 }
@@ -256,13 +265,6 @@
 	return errors.Join(faults...)
 }
 
-// contact takes an answer or a failure of the store.
-func (node *Node) contact(err error) {
-	if node.desk.Contact(err) {
-		node.recorder.Store(err)
-	}
-}
-
 // followConfig keeps the operators' configuration in force.
 func (node *Node) followConfig(ctx context.Context) error {
 	watch := &watcher.Watcher{
@@ -270,7 +272,7 @@
 		Prefix:   platform.ConfigKey,
 		Snapshot: node.takeConfig,
 		Change:   node.takeConfig,
-		Contact:  node.contact,
+		Contact:  node.relayer.Contact,
 	}
 	return watch.Run(ctx)
 }
@@ -371,6 +373,26 @@
 	return view.Leader.Address
 }
 
+// relays returns the other instances: the leader, then those of the same data centre, then the others.
+func (node *Node) relays() []netip.AddrPort {
+	view := node.elector.View()
+	var near, far []netip.AddrPort
+	for name, member := range view.Members {
+		switch {
+		case name == node.settings.Instance || view.Leader != nil && name == view.Leader.Instance:
+		case member.DataCentre == node.settings.DataCentre:
+			near = append(near, member.Address)
+		default:
+			far = append(far, member.Address)
+		}
+	}
+	var all []netip.AddrPort
+	if view.Leader != nil && view.Leader.Instance != node.settings.Instance {
+		all = append(all, view.Leader.Address)
+	}
+	return append(append(all, near...), far...)
+}
+
 // State implements messenger.Leader.
 func (node *Node) State(id describer.JobID) (describer.JobState, error) {
 	if leader := node.leading(); leader != nil {
--- a/internal/cell/desk/desk.go
+++ b/internal/cell/desk/desk.go
@@ -23,20 +23,27 @@
 	leaderTimeout = 300 * time.Millisecond
 	// retryPause is the pause before a call to the store is repeated.
 	retryPause = 60 * time.Millisecond
-	// mostRefused is how long a call is tried again while the store refuses it without an effect.
-	mostRefused = 400 * time.Millisecond
+	// mostTried is how long a call is tried again while the store answers this instance but refuses the
+	// call or loses its answer. A call that takes longer costs its caller the attempt at another instance.
+	mostTried = 900 * time.Millisecond
 	// answerMargin is left of a caller's deadline for the answer.
 	answerMargin = 100 * time.Millisecond
 	// retryAfter is when a caller may try again after the store refused. Outages last seconds, and other
 	// instances may reach the store.
 	retryAfter = time.Second
-	// readySilence is how long the store may be silent before the balancer should use other instances.
-	readySilence = 1500 * time.Millisecond
 )
 
+// Store is the part of describer.Store that a desk uses.
+type Store interface {
+	Read(ctx context.Context, key string) (describer.Item, error)
+	Commit(ctx context.Context, change describer.Change) (describer.Revision, error)
+}
+
 // Options describe a desk.
 type Options struct {
-	Store describer.Store
+	Store Store
+	// Reachable tells whether the store answers this instance itself.
+	Reachable func() bool
 	// Leader returns the address of the leader, invalid if there is none.
 	Leader func() netip.AddrPort
 	// State and Pending ask the leader at an address.
@@ -52,8 +59,6 @@
 
 	mutex    sync.Mutex
 	config   *describer.Config
-	contact  time.Time
-	reached  bool
 	stopping bool
 }
 
@@ -77,24 +82,6 @@
 	return true
 }
 
-// Contact tells of an answer or a failure of the store. It returns whether that changed what is known.
-func (desk *Desk) Contact(err error) (changed bool) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	now := time.Now()
-	if err == nil || !errors.Is(err, describer.ErrNotDone) && !errors.Is(err, describer.ErrUncertain) {
-		changed = !desk.reached
-		desk.reached = true
-		desk.contact = now
-		return changed
-	}
-	if desk.reached && now.Sub(desk.contact) > readySilence {
-		desk.reached = false
-		return true
-	}
-	return false
-}
-
 // Stop withdraws readiness.
 func (desk *Desk) Stop() {
 	desk.mutex.Lock()
@@ -106,7 +93,7 @@
 func (desk *Desk) Ready() bool {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	return desk.config != nil && desk.reached && !desk.stopping
+	return desk.config != nil && !desk.stopping && desk.options.Reachable()
 }
 
 // Config returns the configuration in force.
@@ -187,8 +174,8 @@
 		switch {
 		case ctx.Err() != nil || bounded && time.Until(deadline) < answerMargin+retryPause:
 			return desk.unfinished(uncertain, err)
-		case !uncertain && time.Since(began) > mostRefused:
-			return desk.unfinished(false, err)
+		case !desk.options.Reachable() || time.Since(began) > mostTried:
+			return desk.unfinished(uncertain, err)
 		}
 		watcher.Pause(ctx, retryPause)
 	}
@@ -253,7 +240,7 @@
 			return item, err
 		}
 		deadline, bounded := ctx.Deadline()
-		if ctx.Err() != nil || bounded && time.Until(deadline) < answerMargin+retryPause {
+		if ctx.Err() != nil || !desk.options.Reachable() || bounded && time.Until(deadline) < answerMargin+retryPause {
 			return item, desk.unfinished(false, err)
 		}
 		watcher.Pause(ctx, retryPause)
--- a/internal/cell/messenger/messenger.go
+++ b/internal/cell/messenger/messenger.go
@@ -39,16 +39,23 @@
 	Pending(queue string) (int, error)
 }
 
+// Store makes calls to the store for other instances.
+type Store interface {
+	LocalRead(ctx context.Context, key string) (describer.Item, error)
+	LocalCommit(ctx context.Context, change describer.Change) (describer.Revision, error)
+}
+
 // server serves the messages of other instances.
 type server struct {
 	cellpb.UnimplementedCellServer
 
 	leader  Leader
 	adviser describer.Adviser
+	store   Store
 }
 
 // Serve serves the messages of other instances on address until ctx ends.
-func Serve(ctx context.Context, address netip.AddrPort, leader Leader, adviser describer.Adviser) error {
+func Serve(ctx context.Context, address netip.AddrPort, leader Leader, adviser describer.Adviser, store Store) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address.String())
 	if err != nil {
@@ -63,6 +70,7 @@
 	cellpb.RegisterCellServer(grpcServer, &server{
 		leader:  leader,
 		adviser: adviser,
+		store:   store,
 	})
 	stop := context.AfterFunc(ctx, grpcServer.Stop)
 	defer stop()
--- /dev/null
+++ b/internal/cell/messenger/store.go
@@ -0,0 +1,147 @@
+package messenger
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/cell/cellpb"
+	"pomelomoor/internal/cell/describer"
+)
+
+// outcomeOf is the outcome that a call's error tells.
+func outcomeOf(err error) cellpb.Outcome {
+	var conflict *describer.ConflictError
+	switch {
+	case err == nil:
+		return cellpb.Outcome_OUTCOME_DONE
+	case errors.As(err, &conflict):
+		return cellpb.Outcome_OUTCOME_CONFLICT
+	case errors.Is(err, describer.ErrNotFound):
+		return cellpb.Outcome_OUTCOME_NOT_FOUND
+	case errors.Is(err, describer.ErrNotDone):
+		return cellpb.Outcome_OUTCOME_NOT_DONE
+	default:
+		return cellpb.Outcome_OUTCOME_UNCERTAIN
+	}
+}
+
+// errorOf is the error that an outcome tells. An outcome that is not known leaves open what was done.
+func errorOf(outcome cellpb.Outcome, items []*cellpb.Item) error {
+	switch outcome {
+	case cellpb.Outcome_OUTCOME_DONE:
+		return nil
+	case cellpb.Outcome_OUTCOME_CONFLICT:
+		conflict := &describer.ConflictError{}
+		for _, item := range items {
+			conflict.Items = append(conflict.Items, fromItem(item))
+		}
+		return conflict
+	case cellpb.Outcome_OUTCOME_NOT_FOUND:
+		return describer.ErrNotFound
+	case cellpb.Outcome_OUTCOME_NOT_DONE:
+		return errors.Wrap(describer.ErrNotDone, "at another instance")
+	default:
+		return errors.Wrap(describer.ErrUncertain, "at another instance")
+	}
+}
+
+func toItem(item describer.Item) *cellpb.Item {
+	return &cellpb.Item{
+		Key:      item.Key,
+		Value:    item.Value,
+		Revision: int64(item.Revision),
+	}
+}
+
+func fromItem(item *cellpb.Item) describer.Item {
+	return describer.Item{
+		Key:      item.GetKey(),
+		Value:    item.GetValue(),
+		Revision: describer.Revision(item.GetRevision()),
+	}
+}
+
+// Read implements cellpb.CellServer.
+func (server *server) Read(ctx context.Context, request *cellpb.ReadRequest) (*cellpb.ReadReply, error) {
+	item, err := server.store.LocalRead(ctx, request.GetKey())
+	return &cellpb.ReadReply{
+		Outcome: outcomeOf(err),
+		Item:    toItem(item),
+	}, nil
+}
+
+// Commit implements cellpb.CellServer.
+func (server *server) Commit(ctx context.Context, request *cellpb.CommitRequest) (*cellpb.CommitReply, error) {
+	change := describer.Change{
+		Remove: request.GetRemove(),
+	}
+	for _, item := range request.GetExpect() {
+		change.Expect = append(change.Expect, describer.Expectation{
+			Key:      item.GetKey(),
+			Revision: describer.Revision(item.GetRevision()),
+		})
+	}
+	for _, item := range request.GetWrites() {
+		change.Writes = append(change.Writes, describer.Write{
+			Key:   item.GetKey(),
+			Value: item.GetValue(),
+		})
+	}
+	revision, err := server.store.LocalCommit(ctx, change)
+	reply := &cellpb.CommitReply{
+		Outcome:  outcomeOf(err),
+		Revision: int64(revision),
+	}
+	var conflict *describer.ConflictError
+	if errors.As(err, &conflict) {
+		for _, item := range conflict.Items {
+			reply.Items = append(reply.Items, toItem(item))
+		}
+	}
+	return reply, nil
+}
+
+// Read reads a key of the store by way of the instance at address.
+func (messenger *Messenger) Read(ctx context.Context, address netip.AddrPort, key string) (describer.Item, error) {
+	client, err := messenger.client(address)
+	if err != nil {
+		return describer.Item{}, errors.Wrap(describer.ErrNotDone, err.Error())
+	}
+	reply, err := client.Read(ctx, &cellpb.ReadRequest{
+		Key: key,
+	})
+	if err != nil {
+		return describer.Item{}, errors.Wrap(describer.ErrUncertain, err.Error())
+	}
+	return fromItem(reply.GetItem()), errorOf(reply.GetOutcome(), nil)
+}
+
+// Commit changes the store by way of the instance at address. Leases are not carried.
+func (messenger *Messenger) Commit(ctx context.Context, address netip.AddrPort, change describer.Change) (describer.Revision, error) {
+	client, err := messenger.client(address)
+	if err != nil {
+		return 0, errors.Wrap(describer.ErrNotDone, err.Error())
+	}
+	request := &cellpb.CommitRequest{
+		Remove: change.Remove,
+	}
+	for _, expectation := range change.Expect {
+		request.Expect = append(request.Expect, &cellpb.Item{
+			Key:      expectation.Key,
+			Revision: int64(expectation.Revision),
+		})
+	}
+	for _, write := range change.Writes {
+		request.Writes = append(request.Writes, &cellpb.Item{
+			Key:   write.Key,
+			Value: write.Value,
+		})
+	}
+	reply, err := client.Commit(ctx, request)
+	if err != nil {
+		return 0, errors.Wrap(describer.ErrUncertain, err.Error())
+	}
+	return describer.Revision(reply.GetRevision()), errorOf(reply.GetOutcome(), reply.GetItems())
+}
