watcher: back off while the store does not answer; desk: Retry-After of 2 s

Cause: in an outage each instance repeated its watches every 150 ms, and each refused call is priced; callers who came back after 1 s used up their attempts before an outage of 4 to 6 s was over. Change: the pause doubles up to 800 ms; the answer names 2 s, so that four attempts span 8 s.

--- a/internal/cell/desk/desk.go
+++ b/internal/cell/desk/desk.go
@@ -30,7 +30,7 @@
 	answerMargin = 100 * time.Millisecond
 	// retryAfter is when a caller may try again after the store refused. Outages last seconds, and other
 	// instances may reach the store.
-	retryAfter = time.Second
+	retryAfter = 2 * time.Second
 )
 
 // Store is the part of describer.Store that a desk uses.
--- a/internal/cell/watcher/watcher.go
+++ b/internal/cell/watcher/watcher.go
@@ -14,8 +14,9 @@
 const (
 	// DefaultWait is how long a watch waits for a change. A connection that went silent is noticed that late.
 	DefaultWait = 2 * time.Second
-	// retryPause is the pause after a failed call.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the pause after a failed call. It doubles with each further one up to mostRetryPause.
+	retryPause     = 100 * time.Millisecond
+	mostRetryPause = 800 * time.Millisecond
 )
 
 // Watcher follows one prefix. Its functions are called by one goroutine.
@@ -32,6 +33,8 @@
 	Change func(items []describer.Item)
 	// Contact, if set, is told of each answer and each failure of the store.
 	Contact func(err error)
+
+	failures int
 }
 
 // Run follows the prefix until ctx ends.
@@ -40,9 +43,10 @@
 		items, at, err := describer.ListAll(ctx, watcher.Store, watcher.Prefix)
 		watcher.contact(ctx, err)
 		if err != nil {
-			Pause(ctx, retryPause)
+			watcher.backOff(ctx)
 			continue
 		}
+		watcher.failures = 0
 		watcher.Snapshot(items)
 		watcher.Follow(ctx, at)
 	}
@@ -62,9 +66,10 @@
 		case errors.Is(err, describer.ErrCompacted):
 			return
 		case err != nil:
-			Pause(ctx, retryPause)
+			watcher.backOff(ctx)
 			continue
 		}
+		watcher.failures = 0
 		if len(events) > 0 {
 			watcher.Change(events)
 		}
@@ -81,6 +86,13 @@
 	}
 }
 
+// backOff waits before a failed call is made again.
+func (watcher *Watcher) backOff(ctx context.Context) {
+	shift := min(watcher.failures, 8)
+	watcher.failures++
+	Pause(ctx, min(retryPause<<shift, mostRetryPause))
+}
+
 // Pause waits for duration or until ctx ends.
 func Pause(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
