--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -116,7 +116,7 @@
 
 // choose returns the instance with the least delay, or nil.
 func (advisor *Advisor) choose(now time.Time, long bool) *instance {
-	if long && 2*advisor.long >= len(advisor.instances)+1 {
+	if long && advisor.long > 0 && 2*(advisor.long+1) > len(advisor.instances) {
 		return nil
 	}
 	var best *instance
