--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -344,20 +344,61 @@
 			return
 		case <-elector.wake:
 		}
-		for ctx.Err() == nil && elector.vacant() {
+		for ctx.Err() == nil && elector.opening().any() {
 			watcher.Pause(ctx, elector.delay())
-			if !elector.vacant() {
-				break
-			}
-			elector.stand(ctx)
+			// The view may have changed meanwhile.
+			elector.take(ctx, elector.opening())
 		}
 	}
 }
 
-func (elector *Elector) vacant() bool {
+// opening is a chance to lead.
+type opening struct {
+	// vacant means that no instance leads; the leader key then has the revision expected.
+	vacant   bool
+	expected describer.Revision
+	// own is the fence of a leader key that this process wrote by a call without an answer, else 0.
+	own describer.Fence
+}
+
+func (opening opening) any() bool {
+	return opening.vacant || opening.own > 0
+}
+
+// opening returns the chance that the present view gives.
+func (elector *Elector) opening() opening {
 	elector.mutex.Lock()
 	defer elector.mutex.Unlock()
-	return elector.lease != 0 && (elector.view.Leader == nil || elector.former(*elector.view.Leader))
+	view := elector.view
+	switch {
+	case elector.lease == 0:
+		return opening{}
+	case view.Leader == nil:
+		return opening{
+			vacant: true,
+		}
+	case elector.former(*view.Leader):
+		return opening{
+			vacant:   true,
+			expected: describer.Revision(view.Fence),
+		}
+	case *view.Leader == elector.options.Self && view.Fence > elector.fence:
+		return opening{
+			own: view.Fence,
+		}
+	default:
+		return opening{}
+	}
+}
+
+// take uses a chance to lead.
+func (elector *Elector) take(ctx context.Context, opening opening) {
+	switch {
+	case opening.own > 0:
+		elector.lead(ctx, opening.own, time.Now())
+	case opening.vacant:
+		elector.stand(ctx, opening.expected)
+	}
 }
 
 // former tells whether member is an earlier process of this instance, which has ended.
@@ -374,17 +415,15 @@
 	return far + weak + rand.N(spreadDelay)
 }
 
-// stand tries to create the leader key, and leads if it could.
-func (elector *Elector) stand(ctx context.Context) {
+// stand tries to write the leader key over the expected revision, and leads if it could. If the answer is
+// lost or another instance was faster, the watch will tell who leads.
+func (elector *Elector) stand(ctx context.Context, expected describer.Revision) {
 	value, err := json.Marshal(elector.options.Self)
 	if err != nil {
 		elector.observe("encode member", 0, err)
 		return
 	}
 	began := time.Now()
-	elector.mutex.Lock()
-	expected := describer.Revision(elector.view.Fence)
-	elector.mutex.Unlock()
 	revision, err := elector.options.Store.Commit(ctx, describer.Change{
 		Expect: []describer.Expectation{{
 			Key:      LeaderKey,
@@ -397,12 +436,7 @@
 		}},
 	})
 	elector.contact(ctx, err)
-	var conflict *describer.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		elector.adopt(ctx, conflict)
-		return
-	case err != nil:
+	if err != nil {
 		elector.observe("campaign", 0, err)
 		watcher.Pause(ctx, retryPause)
 		return
@@ -410,22 +444,6 @@
 	elector.lead(ctx, describer.Fence(revision), began)
 }
 
-// adopt leads if the leader key is this instance's own, written by a call that got no answer. Otherwise
-// the watch will tell who leads.
-func (elector *Elector) adopt(ctx context.Context, conflict *describer.ConflictError) {
-	for _, item := range conflict.Items {
-		var member Member
-		if item.Key != LeaderKey || item.Revision == 0 || json.Unmarshal(item.Value, &member) != nil {
-			continue
-		}
-		if member == elector.options.Self {
-			elector.lead(ctx, describer.Fence(item.Revision), time.Now())
-			return
-		}
-	}
-	watcher.Pause(ctx, retryPause)
-}
-
 func (elector *Elector) lead(ctx context.Context, fence describer.Fence, began time.Time) {
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/cell/planner/ends.go
+++ b/internal/cell/planner/ends.go
@@ -41,6 +41,7 @@
 		Age:    now.Sub(run.placed),
 	})
 	planner.learn(now, run, end.Outcome)
+	step.job.begin()
 	if task.active != run {
 		return
 	}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -246,9 +245,6 @@
 	}
 	task.run = run.number
 	planner.attach(run)
-	if job.state == describer.JobQueued {
-		job.state = describer.JobRunning
-	}
 	planner.touch(job)
 	run.generation = job.generation
 	job.intended = append(job.intended, run)
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -190,6 +190,13 @@
 	tail time.Duration
 }
 
+// begin notes that a task of job has started. The record tells it with its next change.
+func (job *job) begin() {
+	if job.state == describer.JobQueued {
+		job.state = describer.JobRunning
+	}
+}
+
 type taskState int
 
 const (
--- a/internal/cell/planner/record.go
+++ b/internal/cell/planner/record.go
@@ -216,14 +216,9 @@
 		return
 	}
 	worker := planner.worker(entry.Worker)
-	born := time.UnixMilli(entry.Born)
-	if worker.born.IsZero() || worker.born.UnixMilli() == 0 {
+	if born := time.UnixMilli(entry.Born); born.After(worker.born) {
 		worker.born = born
 	}
-	if born.Before(worker.born) {
-		// The incarnation that had the run is gone.
-		return
-	}
 	worker.leaseUntil = planner.options.Takeover.Add(planner.options.InheritedHold)
 	run := &run{
 		task:   task,
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if description.Born.After(worker.born) {
-		planner.reborn(now, worker, description.Born)
+		planner.reborn(worker, description.Born)
 	}
 	if worker.clockAt.IsZero() {
 		worker.clock = description.Clock
@@ -94,8 +94,9 @@
 	}
 }
 
-// reborn ends all that ran on earlier incarnations of worker.
-func (planner *Planner) reborn(now time.Time, worker *worker, born time.Time) {
+// reborn notes that worker started anew. The new incarnation has the same address and ID, so it may have
+// carried out orders that were meant for the earlier one: its list has to show what became of each run.
+func (planner *Planner) reborn(worker *worker, born time.Time) {
 	fresh := worker.born.IsZero()
 	worker.born = born
 	if fresh {
@@ -105,7 +106,11 @@
 		Kind:   EventWorkerReborn,
 		Worker: worker.id,
 	})
-	planner.loseRuns(now, worker, "worker started anew")
+	for _, run := range worker.runs {
+		if run.phase == phaseRunning {
+			run.phase = phaseRecovered
+		}
+	}
 	worker.known = false
 	worker.clockAt = time.Time{}
 	worker.handled = 0
@@ -195,7 +200,7 @@
 		return
 	}
 	if look.Born.After(worker.born) {
-		planner.reborn(now, worker, look.Born)
+		planner.reborn(worker, look.Born)
 	}
 	if !worker.silentSince.IsZero() {
 		planner.emit(Event{
@@ -242,7 +247,9 @@
 		}
 		switch run.phase {
 		case phaseRecovered:
-			planner.release(now, run, "was not started")
+			if run.confirmed.IsZero() || run.confirmed.Before(sent) {
+				planner.release(now, run, "was not started or ended with the worker's earlier incarnation")
+			}
 		case phaseRunning, phaseStopping:
 			if !run.confirmed.IsZero() && run.confirmed.Before(sent) {
 				planner.release(now, run, "is not in the worker's list")
@@ -260,6 +267,7 @@
 		run.phase = phaseRunning
 		run.confirmed = now
 		run.progressed = now
+		run.task.step.job.begin()
 	}
 	if running.Percent != run.percent {
 		run.percent = running.Percent
@@ -294,10 +302,6 @@
 	if worker == nil {
 		return
 	}
-	if errors.Is(err, describer.ErrReborn) {
-		planner.loseRuns(now, worker, "another incarnation answers")
-		worker.known = false
-	}
 	if worker.silentSince.IsZero() {
 		worker.silentSince = now
 		planner.emit(Event{
@@ -461,11 +465,13 @@
 		}
 		run.confirmed = now
 		run.progressed = now
+		run.task.step.job.begin()
 	case errors.Is(err, describer.ErrUncertain):
 		run.worker.health.suspect(now)
 		planner.stop(now, run, "start got no answer")
 	case errors.Is(err, describer.ErrReborn):
-		run.worker.known = false
+		// Another worker answers at the address.
+		run.worker.health.suspect(now)
 		planner.release(now, run, err.Error())
 	case errors.Is(err, describer.ErrTicket):
 		delete(run.task.step.advice.tickets, run.worker.id)
