planner: no end is forgotten by a worker that did not answer the last look

Cause: a look names the last end that the scheduler took note of. Change: after a look without an answer the next ones name no end. Releases are logged.

--- a/integration/cell/soak_test.go
+++ b/integration/cell/soak_test.go
@@ -29,7 +29,7 @@
 )
 
 // regressionSeeds are seeds that failed once. docs/soak.md tells the cause of each.
-var regressionSeeds = []uint64{7, 16, 22, 33}
+var regressionSeeds = []uint64{7, 11, 16, 22, 33}
 
 // shortSeeds are played in CI beside the regression seeds.
 var shortSeeds = []uint64{1, 2}
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -129,6 +129,7 @@
 	EventRunPlaced
 	EventRunEnded
 	EventRunLost
+	EventRunReleased
 	EventWorkerSilent
 	EventWorkerBack
 	EventWorkerReborn
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -159,6 +159,8 @@
 	order.Wait = lookWait
 	if !worker.known || !worker.silentSince.IsZero() {
 		order.Wait = 0
+		// A new incarnation, whose ends count from 1, may answer: it must not forget any yet.
+		order.Seen = 0
 	}
 	if worker.silentSince.IsZero() || now.Sub(worker.silentSince) < extendSilent {
 		lease := min(planner.options.LongestLease, usualLease)
@@ -359,6 +361,15 @@
 
 // release ends a run that is over without an outcome of its own, and queues its task again.
 func (planner *Planner) release(now time.Time, run *run, reason string) {
+	planner.emit(Event{
+		Kind:   EventRunReleased,
+		Job:    run.task.step.job.ID,
+		Task:   run.id().String(),
+		Run:    run.number,
+		Worker: run.worker.id,
+		Detail: reason,
+		Age:    now.Sub(run.placed),
+	})
 	planner.detach(run)
 	task := run.task
 	if task.active != run {
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -49,6 +49,8 @@
 		return logger.EventRunEnded
 	case planner.EventRunLost:
 		return logger.EventRunLost
+	case planner.EventRunReleased:
+		return logger.EventRunReleased
 	case planner.EventWorkerSilent:
 		return logger.EventCellWorkerSilent
 	case planner.EventWorkerBack:
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -641,4 +641,11 @@
 		Text:    "state of a job told",
 		Meaning: "A caller asked for the state of the job and got `Outcome` after `Took`.",
 	},
+	{
+		Event:   EventRunReleased,
+		Level:   slog.LevelInfo,
+		Name:    "RunReleased",
+		Text:    "run released",
+		Meaning: "The run is over without an outcome of its own, for the reason in `Detail`, and its task waits again unless its job has ended.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -110,4 +110,5 @@
 	EventMembersChanged      Event = 924
 	EventLeaseChanged        Event = 925
 	EventJobStateTold        Event = 926
+	EventRunReleased         Event = 927
 )
