Instances announce stored jobs to the leader; work that would just miss its objective gives way

Cause: for a second without events of the store's watch (platform_compact) no job was planned, and each job waited for the next watch; under overload all work started at its latest start and missed it. Change: the instance that stored a job or a cancellation tells the leader, which still follows the store (every 100 ms); the latest start has a margin for reporting and for estimates; leases last 1 s.

--- a/internal/cell/assembler/assembler.go
+++ b/internal/cell/assembler/assembler.go
@@ -120,6 +120,7 @@
 		Leader:    node.leaderAddress,
 		State:     node.askState,
 		Pending:   node.askPending,
+		Announce:  node.announce,
 		Observe:   node.recorder.Answered,
 	})
 	node.elector = elector.New(elector.Options{
@@ -413,6 +414,21 @@
 	return 0, messenger.ErrNotLeader
 }
 
+// Announce implements messenger.Leader.
+func (node *Node) Announce(job []byte, cancelled describer.JobID) error {
+	if leader := node.leading(); leader != nil && leader.Announce(job, cancelled) {
+		return nil
+	}
+	return messenger.ErrNotLeader
+}
+
+func (node *Node) announce(ctx context.Context, address netip.AddrPort, job []byte, cancelled describer.JobID) error {
+	if address == node.settings.Peer {
+		return node.Announce(job, cancelled)
+	}
+	return node.messenger.Announce(ctx, address, job, cancelled)
+}
+
 func (node *Node) askState(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error) {
 	if address == node.settings.Peer {
 		return node.State(id)
--- a/internal/cell/desk/desk.go
+++ b/internal/cell/desk/desk.go
@@ -49,6 +49,8 @@
 	// State and Pending ask the leader at an address.
 	State   func(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error)
 	Pending func(ctx context.Context, address netip.AddrPort, queue string) (int, error)
+	// Announce tells the leader at an address of a stored job or cancellation.
+	Announce func(ctx context.Context, address netip.AddrPort, job []byte, cancelled describer.JobID) error
 	// Observe is told of each call that was answered.
 	Observe func(call string, id describer.JobID, queue string, outcome string, took time.Duration)
 }
@@ -155,9 +157,27 @@
 		// The job was stored before, by this call or an earlier one.
 		return nil
 	}
+	if err == nil {
+		desk.announce(value, "")
+	}
 	return err
 }
 
+// announce tells the leader of a job or a cancellation without waiting. The leader reads the store as
+// well, so that a lost announcement costs time only.
+func (desk *Desk) announce(job []byte, cancelled describer.JobID) {
+	address := desk.options.Leader()
+	if !address.IsValid() || desk.options.Announce == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaderTimeout)
+		defer cancel()
+		// The leader finds what was not announced in the store.
+		_ = desk.options.Announce(ctx, address, job, cancelled)
+	}()
+}
+
 // commit makes a change and tries again while its outcome is open. The change must be one that cannot
 // take effect twice. A RejectedError says that it never takes effect.
 func (desk *Desk) commit(ctx context.Context, change describer.Change) error {
@@ -273,6 +293,9 @@
 			}},
 		})
 		var conflict *describer.ConflictError
+		if err == nil {
+			desk.announce(nil, id)
+		}
 		if !errors.As(err, &conflict) {
 			return err
 		}
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -27,10 +27,13 @@
 )
 
 const (
-	// leaseTTL is how long a member that does not renew is counted on.
-	leaseTTL = 1500 * time.Millisecond
-	// renewInterval lets three renewals in a row fail.
+	// leaseTTL is how long a member that does not renew is counted on. Nothing starts that long after the
+	// loss of a leader. Source: the least time that the store grants.
+	leaseTTL = time.Second
+	// renewInterval and renewTimeout let a renewal fail, and each succeed while the store takes 60 times
+	// its usual 4 ms to answer over the way between regions.
 	renewInterval = leaseTTL / 4
+	renewTimeout  = 400 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	// MostSilence is how long a leader goes on without the store. Running work outlasts an outage of
@@ -235,7 +238,9 @@
 
 func (elector *Elector) renew(ctx context.Context) {
 	sent := time.Now()
-	_, err := elector.options.Store.Renew(ctx, elector.leaseID())
+	call, cancel := context.WithTimeout(ctx, renewTimeout)
+	_, err := elector.options.Store.Renew(call, elector.leaseID())
+	cancel()
 	elector.contact(ctx, err)
 	switch {
 	case err == nil:
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -28,8 +28,8 @@
 	passPause = 4
 	// tickInterval is how often due times, lapsed leases and tickets are looked at.
 	tickInterval = 50 * time.Millisecond
-	// inboxPace lets submissions come together.
-	inboxPace = 10 * time.Millisecond
+	// inboxPace lets submissions come together. Instances also announce them, so that few come this way first.
+	inboxPace = 100 * time.Millisecond
 	// registryPace lets entries of workers come together.
 	registryPace = 100 * time.Millisecond
 	// lookPause is the least time between two looks at a worker, so that ends come together.
@@ -220,6 +220,27 @@
 	return &job
 }
 
+// Announce takes a job that an instance stored, or the ID of a job whose cancellation it stored. It returns
+// false before the state of the cell is read; the inbox then tells.
+func (leader *Leader) Announce(job []byte, cancelled describer.JobID) bool {
+	now := time.Now()
+	leader.mutex.Lock()
+	defer leader.mutex.Unlock()
+	if leader.planner == nil {
+		return false
+	}
+	if cancelled != "" {
+		leader.planner.Cancel(now, cancelled)
+	} else if description := leader.parseJob(describer.Item{
+		Key:   persister.JobPrefix,
+		Value: job,
+	}); description != nil {
+		leader.planner.Add(now, description)
+	}
+	leader.signal()
+	return true
+}
+
 func (leader *Leader) takeCancels(now time.Time, items []describer.Item) {
 	for _, item := range items {
 		if !item.Gone && strings.HasPrefix(item.Key, persister.CancelPrefix) {
--- a/internal/cell/messenger/messenger.go
+++ b/internal/cell/messenger/messenger.go
@@ -37,6 +37,8 @@
 type Leader interface {
 	State(id describer.JobID) (describer.JobState, error)
 	Pending(queue string) (int, error)
+	// Announce takes a job that was stored, or the ID of a job whose cancellation was.
+	Announce(job []byte, cancelled describer.JobID) error
 }
 
 // Store makes calls to the store for other instances.
@@ -106,6 +108,14 @@
 	}, nil
 }
 
+// Announce implements cellpb.CellServer.
+func (server *server) Announce(_ context.Context, request *cellpb.AnnounceRequest) (*cellpb.AnnounceReply, error) {
+	if err := server.leader.Announce(request.GetJob(), describer.JobID(request.GetCancelled())); err != nil {
+		return nil, unavailable(err)
+	}
+	return &cellpb.AnnounceReply{}, nil
+}
+
 // Advise implements cellpb.CellServer.
 func (server *server) Advise(ctx context.Context, request *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
 	workers := make([]describer.WorkerID, 0, len(request.GetWorkers()))
@@ -238,6 +248,22 @@
 	return int(reply.GetCount()), nil
 }
 
+// Announce tells the leader at address of a stored job, or of a stored cancellation.
+func (messenger *Messenger) Announce(ctx context.Context, address netip.AddrPort, job []byte, cancelled describer.JobID) error {
+	client, err := messenger.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Announce(ctx, &cellpb.AnnounceRequest{
+		Job:       job,
+		Cancelled: string(cancelled),
+	})
+	if err != nil {
+		return errors.Wrap(err, "announce to leader")
+	}
+	return nil
+}
+
 // Advise has the instance at address ask the advice service.
 func (messenger *Messenger) Advise(ctx context.Context, address netip.AddrPort, step describer.StepID, workers []describer.WorkerID) (describer.Advice, error) {
 	client, err := messenger.client(address)
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -11,6 +11,14 @@
 // Source: the rules of the platform's users.
 const lateFactor = 3
 
+const (
+	// reportTime is the time from the end of a task until its caller is told: the ways between regions
+	// and the writing of the record.
+	reportTime = 200 * time.Millisecond
+	// estimateMargin is the share by which run times are expected to exceed their estimates.
+	estimateMargin = 0.1
+)
+
 // mostStarved is the number of steps without room behind which no step asks for advice: its tickets would
 // expire before its turn.
 const mostStarved = 40
@@ -43,6 +51,9 @@
 		step:   step,
 		latest: planner.latestStart(step),
 	}
+	// Work that would just meet its objective misses it by the first delay, so it gives way to work that
+	// can meet its own.
+	order.latest = order.latest.Add(-reportTime - time.Duration(estimateMargin*float64(step.tail)))
 	late := order.latest.Add((lateFactor - 1) * planner.objective(step))
 	switch {
 	case now.After(late):
