planner: keep workers for waiting gangs from work that can wait

Change: the workers of up to three waiting gangs are left by work that has 1.5 s and more to its latest start.

--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -19,6 +19,13 @@
 	estimateMargin = 0.1
 )
 
+const (
+	// mostReservations is the number of waiting gangs for which workers are kept.
+	mostReservations = 3
+	// patience is the time before its latest start from which on work leaves kept workers to a gang.
+	patience = 1500 * time.Millisecond
+)
+
 // mostStarved is the number of steps without room behind which no step asks for advice: its tickets would
 // expire before its turn.
 const mostStarved = 40
@@ -92,14 +99,34 @@
 	}
 	slices.SortFunc(orders, compareOrders)
 	planner.rank(now)
-	starved := 0
+	clear(planner.reserved)
+	starved, reservations := 0, 0
 	for _, order := range orders {
 		if starved < mostStarved {
 			planner.refreshAdvice(now, order.step)
 		}
+		planner.patient = order.latest.Sub(now) > patience
 		planner.placeStep(now, order.step)
-		if order.step.advice.starved {
-			starved++
+		if !order.step.advice.starved {
+			continue
+		}
+		starved++
+		if order.step.Gang && order.class < 2 && reservations < mostReservations {
+			reservations++
+			planner.reserve(now, order.step)
+		}
+	}
+}
+
+// reserve keeps the workers that a waiting gang may use from work that can wait, for the rest of a pass.
+// Without it, narrow work takes each place as it becomes free and a wide gang never finds all of its own.
+func (planner *Planner) reserve(now time.Time, step *step) {
+	if step.job.policy.Advice == nil {
+		return
+	}
+	for id, ticket := range step.advice.tickets {
+		if ticket.valid(now) {
+			planner.reserved[id] = true
 		}
 	}
 }
@@ -199,6 +226,9 @@
 	needs := step.Occupied()
 	var bestScore float64
 	consider := func(worker *worker, ticket string) {
+		if planner.patient && planner.reserved[worker.id] {
+			return
+		}
 		free := worker.description.Capacity.Sub(worker.used)
 		more := booked[worker]
 		for range more {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -51,6 +51,10 @@
 	workers map[describer.WorkerID]*worker
 	// roomiest holds the workers that may be given work in this pass, the one with the most room first.
 	roomiest []*worker
+	// reserved holds the workers that are kept for gangs in this pass; patient means that the step at
+	// hand can wait and leaves them.
+	reserved map[describer.WorkerID]bool
+	patient  bool
 	// waiting holds the steps that have tasks to place.
 	waiting map[*step]struct{}
 	// timed holds the jobs with occurrences that are not due yet.
@@ -272,14 +276,15 @@
 // New returns the planner of a term without jobs and workers.
 func New(options Options, config *describer.Config) *Planner {
 	return &Planner{
-		options: options,
-		config:  config,
-		jobs:    map[describer.JobID]*job{},
-		workers: map[describer.WorkerID]*worker{},
-		waiting: map[*step]struct{}{},
-		timed:   map[*job]struct{}{},
-		queues:  map[string]*queueStats{},
-		dirty:   map[describer.JobID]struct{}{},
+		options:  options,
+		config:   config,
+		jobs:     map[describer.JobID]*job{},
+		workers:  map[describer.WorkerID]*worker{},
+		reserved: map[describer.WorkerID]bool{},
+		waiting:  map[*step]struct{}{},
+		timed:    map[*job]struct{}{},
+		queues:   map[string]*queueStats{},
+		dirty:    map[describer.JobID]struct{}{},
 	}
 }
 
