--- a/cmd/pomelomoor/main_test.go
+++ b/cmd/pomelomoor/main_test.go
@@ -30,7 +30,7 @@
 	})
 }
 
-// TestOperations guards against steps of docs/operations.md, and of the pages about jobs and selectors,
+// TestOperations guards against steps of docs/OPERATIONS.md, and of the pages about jobs and selectors,
 // that do not work. The steps run against processes on loopback.
 func TestOperations(t *testing.T) {
 	programs := t.TempDir()
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -141,7 +141,10 @@
 	if err != nil {
 		node.cell.t.Fatal(err)
 	}
-	defer log.Close()
+	defer func() {
+		// The process has a descriptor of its own.
+		_ = log.Close()
+	}()
 	command := exec.Command(program, "node", "--log-level=DEBUG")
 	command.Env = append(os.Environ(), "POMELOMOOR_SETTINGS="+node.settings)
 	command.Stdout = log
--- a/internal/cell/desk/desk.go
+++ b/internal/cell/desk/desk.go
@@ -52,7 +52,23 @@
 	// Announce tells the leader at an address of a stored job or cancellation.
 	Announce func(ctx context.Context, address netip.AddrPort, job []byte, cancelled describer.JobID) error
 	// Observe is told of each call that was answered.
-	Observe func(call string, id describer.JobID, queue string, outcome string, took time.Duration)
+	Observe func(answer Answer)
+}
+
+// Answer is what a caller was told.
+type Answer struct {
+	// Call is Submit, State, Cancel or Pending.
+	Call  string
+	Job   describer.JobID
+	Queue string
+	// State is the state that was told.
+	State describer.JobState
+	// ConfigVersion is the version of the configuration that was in force.
+	ConfigVersion int64
+	// Outcome is Done, Rejected, NoJob or Uncertain; Err tells why it is not Done.
+	Outcome string
+	Err     error
+	Took    time.Duration
 }
 
 // Desk serves callers. It is safe for concurrent use.
@@ -105,29 +121,39 @@
 	return desk.config
 }
 
-func (desk *Desk) observe(call string, id describer.JobID, queue string, began time.Time, err error) {
+// observe tells of an answer, of which err is the outcome.
+func (desk *Desk) observe(answer Answer, began time.Time, err error) {
 	if desk.options.Observe == nil {
 		return
 	}
-	outcome := "Done"
+	answer.Took = time.Since(began)
+	answer.Err = err
+	if config := desk.Config(); config != nil {
+		answer.ConfigVersion = config.Version
+	}
+	answer.Outcome = "Done"
 	var rejected *describer.RejectedError
 	switch {
 	case err == nil:
 	case errors.As(err, &rejected):
-		outcome = "Rejected"
+		answer.Outcome = "Rejected"
 	case errors.Is(err, describer.ErrNoJob):
-		outcome = "NoJob"
+		answer.Outcome = "NoJob"
 	default:
-		outcome = "Uncertain"
+		answer.Outcome = "Uncertain"
 	}
-	desk.options.Observe(call, id, queue, outcome, time.Since(began))
+	desk.options.Observe(answer)
 }
 
 // Submit stores a job under the condition that no job of its ID is known.
 func (desk *Desk) Submit(ctx context.Context, job *describer.Job) (err error) {
 	began := time.Now()
 	defer func() {
-		desk.observe("Submit", job.ID, job.Queue, began, err)
+		desk.observe(Answer{
+			Call:  "Submit",
+			Job:   job.ID,
+			Queue: job.Queue,
+		}, began, err)
 	}()
 	job.Submitted = began
 	value, err := json.Marshal(job)
@@ -215,7 +241,11 @@
 func (desk *Desk) State(ctx context.Context, id describer.JobID) (state describer.JobState, err error) {
 	began := time.Now()
 	defer func() {
-		desk.observe("State", id, state.String(), began, err)
+		desk.observe(Answer{
+			Call:  "State",
+			Job:   id,
+			State: state,
+		}, began, err)
 	}()
 	if leader := desk.options.Leader(); leader.IsValid() {
 		call, cancel := context.WithTimeout(ctx, leaderTimeout)
@@ -271,7 +301,10 @@
 func (desk *Desk) Cancel(ctx context.Context, id describer.JobID) (err error) {
 	began := time.Now()
 	defer func() {
-		desk.observe("Cancel", id, "", began, err)
+		desk.observe(Answer{
+			Call: "Cancel",
+			Job:  id,
+		}, began, err)
 	}()
 	key := persister.JobPrefix + string(id)
 	for {
@@ -316,7 +349,10 @@
 func (desk *Desk) Pending(ctx context.Context, queue string) (count int, err error) {
 	began := time.Now()
 	defer func() {
-		desk.observe("Pending", "", queue, began, err)
+		desk.observe(Answer{
+			Call:  "Pending",
+			Queue: queue,
+		}, began, err)
 	}()
 	for {
 		if leader := desk.options.Leader(); leader.IsValid() {
--- a/internal/cell/messenger/messenger.go
+++ b/internal/cell/messenger/messenger.go
@@ -161,7 +161,8 @@
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
 	for address, conn := range messenger.conns {
-		conn.Close()
+		// A connection that is given up cannot fail in a way that matters.
+		_ = conn.Close()
 		delete(messenger.conns, address)
 	}
 }
@@ -172,7 +173,8 @@
 	defer messenger.mutex.Unlock()
 	for address, conn := range messenger.conns {
 		if !addresses[address] {
-			conn.Close()
+			// A connection that is given up cannot fail in a way that matters.
+			_ = conn.Close()
 			delete(messenger.conns, address)
 		}
 	}
@@ -213,7 +215,8 @@
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
 	if conn := messenger.conns[address]; conn != nil {
-		conn.Close()
+		// A connection that is given up cannot fail in a way that matters.
+		_ = conn.Close()
 		delete(messenger.conns, address)
 	}
 }
--- a/internal/cell/planner/ends.go
+++ b/internal/cell/planner/ends.go
@@ -73,7 +73,7 @@
 	task := run.task
 	step := task.step
 	planner.stats.Failed++
-	failures := 0
+	var failures int
 	if step.Gang {
 		if run.number > step.failedRun {
 			step.failedRun = run.number
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -246,9 +246,7 @@
 	generation int64
 	placed     time.Time
 	// confirmed is when the worker confirmed the run or its stop; a later list shows what is left of it.
-	confirmed time.Time
-	// stopSent means that the worker has to be told to stop the run, since an order may have reached it.
-	stopSent   bool
+	confirmed  time.Time
 	percent    int
 	progressed time.Time
 	ticket     string
--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/cell/desk"
 	"pomelomoor/internal/cell/elector"
 	"pomelomoor/internal/cell/leader"
 	"pomelomoor/internal/cell/planner"
@@ -147,30 +148,29 @@
 }
 
 // Answered logs and measures a caller's call.
-func (recorder *Recorder) Answered(call string, id describer.JobID, queue, outcome string, took time.Duration) {
-	tags := map[string]string{
-		"Call":    call,
-		"Outcome": outcome,
-	}
-	recorder.count("Calls", tags)
+func (recorder *Recorder) Answered(answer desk.Answer) {
+	recorder.count("Calls", map[string]string{
+		"Call":    answer.Call,
+		"Outcome": answer.Outcome,
+	})
 	recorder.latency("Calls.Latency", map[string]string{
-		"Call": call,
-	}, took)
-	event := logger.EventJobStored
-	switch call {
+		"Call": answer.Call,
+	}, answer.Took)
+	attributes := []slog.Attr{
+		slog.String("Job", string(answer.Job)),
+		slog.String("Outcome", answer.Outcome),
+		slog.Int64("ConfigVersion", answer.ConfigVersion),
+		slog.Duration("Took", answer.Took),
+		logger.Error(answer.Err),
+	}
+	switch answer.Call {
 	case "Submit":
+		recorder.log(logger.EventJobStored, append(attributes, slog.String("Queue", answer.Queue))...)
 	case "Cancel":
-		event = logger.EventJobCancelRequested
+		recorder.log(logger.EventJobCancelRequested, attributes...)
 	case "State":
-		event = logger.EventJobStateTold
-	default:
-		return
+		recorder.log(logger.EventJobStateTold, append(attributes, slog.String("State", answer.State.String()))...)
 	}
-	recorder.log(event,
-		slog.String("Job", string(id)),
-		slog.String("Queue", queue),
-		slog.String("Outcome", outcome),
-		slog.Duration("Took", took))
 }
 
 // Elected logs changes of the instance's lease and leadership.
--- a/internal/node/logger/logger_test.go
+++ b/internal/node/logger/logger_test.go
@@ -87,7 +87,7 @@
 		t.Fatal(err)
 	}
 	cited := 0
-	for _, page := range []string{"operations", "failures", "settings", "traces", "metrics"} {
+	for _, page := range []string{"OPERATIONS", "failures", "settings", "traces", "metrics"} {
 		content, err := os.ReadFile("../../../docs/" + page + ".md")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/node/logger/queue.go
+++ b/internal/node/logger/queue.go
@@ -50,8 +50,10 @@
 
 // drain writes lines together and flushes when none waits.
 func (queue *Queue) drain(writer *bufio.Writer, stop <-chan struct{}) {
-	// A failed write of a log line has no other place to be told.
-	defer writer.Flush()
+	defer func() {
+		// A failed write of a log line has no other place to be told.
+		_ = writer.Flush()
+	}()
 	for {
 		select {
 		case line := <-queue.lines:
