--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -146,7 +146,7 @@
 		_ = log.Close()
 	}()
 	command := exec.Command(program, "node", "--log-level=DEBUG")
-	command.Env = append(os.Environ(), "POMELOMOOR_SETTINGS="+node.settings)
+	command.Env = append(os.Environ(), standin.Environment(node.settings))
 	command.Stdout = log
 	command.Stderr = log
 	if err := command.Start(); err != nil {
--- a/integration/cell/soak_test.go
+++ b/integration/cell/soak_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"pomelomoor/internal/cell/watcher"
 	"pomelomoor/platform/standin"
 )
 
@@ -181,7 +183,7 @@
 		lasts := time.Duration(soak.random.Int64N(int64(mostFault)))
 		kind := soak.random.IntN(len(faults))
 		victim := soak.random.IntN(1 << 16)
-		time.Sleep(gap)
+		watcher.Pause(context.Background(), gap)
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() {
@@ -244,7 +246,7 @@
 		if soak.hold("store") {
 			defer soak.free("store")
 			soak.cell.site.Store.SetFault(decide)
-			time.Sleep(lasts)
+			watcher.Pause(context.Background(), lasts)
 			soak.cell.site.Store.SetFault(nil)
 		}
 	}
@@ -253,7 +255,7 @@
 var faults = []fault{
 	{"instance killed", onNode(func(node *node, lasts time.Duration) {
 		node.kill(syscall.SIGKILL)
-		time.Sleep(lasts / 2)
+		watcher.Pause(context.Background(), lasts/2)
 		node.start()
 	})},
 	{"instance stopped", onNode(func(node *node, _ time.Duration) {
@@ -262,7 +264,7 @@
 	})},
 	{"instance paused", onNode(func(node *node, lasts time.Duration) {
 		node.signal(syscall.SIGSTOP, false)
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		node.signal(syscall.SIGCONT, false)
 	})},
 	{"settings signalled", onNode(func(node *node, _ time.Duration) {
@@ -272,27 +274,27 @@
 	})},
 	{"instance cut off from the store", onNode(func(node *node, lasts time.Duration) {
 		node.store.Cut()
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		node.store.Heal()
 	})},
 	{"answers of the store lost for one instance", onNode(func(node *node, lasts time.Duration) {
 		node.store.LoseAnswers()
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		node.store.Heal()
 	})},
 	{"store slow for one instance", onNode(func(node *node, lasts time.Duration) {
 		node.store.Slow(200 * time.Millisecond)
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		node.store.Heal()
 	})},
 	{"worker cut off", onWorker(func(soak *soak, worker *standin.Worker, lasts time.Duration) {
 		soak.cell.links[worker.ID].Cut()
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		soak.cell.links[worker.ID].Heal()
 	})},
 	{"answers of a worker lost", onWorker(func(soak *soak, worker *standin.Worker, lasts time.Duration) {
 		soak.cell.links[worker.ID].LoseAnswers()
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		soak.cell.links[worker.ID].Heal()
 	})},
 	{"worker restarted", onWorker(func(soak *soak, worker *standin.Worker, _ time.Duration) {
@@ -301,7 +303,7 @@
 	})},
 	{"worker silent", onWorker(func(_ *soak, worker *standin.Worker, lasts time.Duration) {
 		worker.SetSilent(true)
-		time.Sleep(lasts)
+		watcher.Pause(context.Background(), lasts)
 		worker.SetSilent(false)
 	})},
 	{"store refuses", onStore(func(string) standin.Fault {
@@ -310,12 +312,7 @@
 	{"store silent", onStore(func(string) standin.Fault {
 		return standin.FaultSilent
 	})},
-	{"writes done but not answered", onStore(func(call string) standin.Fault {
-		if call == "kv-txn" && rand.IntN(3) == 0 {
-			return standin.FaultLost
-		}
-		return standin.FaultNone
-	})},
+	{"writes done but not answered", onStore(standin.LoseWrites(3))},
 	{"history dropped", func(soak *soak, _ int, _ time.Duration) {
 		soak.cell.site.Store.Compact()
 	}},
@@ -330,7 +327,7 @@
 				}()
 			}
 		}
-		time.Sleep(lasts / 4)
+		watcher.Pause(context.Background(), lasts/4)
 	}},
 }
 
--- a/internal/cell/describer/job.go
+++ b/internal/cell/describer/job.go
@@ -100,18 +100,18 @@
 	JobCancelled
 )
 
-// String returns the name of state.
-func (state JobState) String() string {
+// String returns the name of jobState.
+func (jobState JobState) String() string {
 	names := [...]string{"Unknown", "Queued", "Running", "Completed", "Failed", "Cancelled"}
-	if state < 0 || int(state) >= len(names) {
+	if jobState < 0 || int(jobState) >= len(names) {
 		return "Invalid"
 	}
-	return names[state]
+	return names[jobState]
 }
 
-// Final tells whether a job in state never changes again.
-func (state JobState) Final() bool {
-	return state >= JobCompleted
+// Final tells whether a job in jobState never changes again.
+func (jobState JobState) Final() bool {
+	return jobState >= JobCompleted
 }
 
 // AdvicePolicy describes the advice service that knows which workers may run the steps of a queue.
--- a/internal/cell/describer/orders.go
+++ b/internal/cell/describer/orders.go
@@ -18,8 +18,8 @@
 }
 
 // String returns the name of the step as the workers and the advice service know it.
-func (id StepID) String() string {
-	return fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step)
+func (stepID StepID) String() string {
+	return fmt.Sprintf("%s.%d.%d", stepID.Job, stepID.Occurrence, stepID.Step)
 }
 
 // TaskID names a task.
@@ -29,8 +29,8 @@
 }
 
 // String returns the name of the task as the workers know it.
-func (id TaskID) String() string {
-	return id.StepID.String() + "." + strconv.Itoa(id.Index)
+func (taskID TaskID) String() string {
+	return taskID.StepID.String() + "." + strconv.Itoa(taskID.Index)
 }
 
 // ParseTaskID reads a name that TaskID.String wrote.
