planner: steps without tickets do not keep later steps from asking

Change: only steps with tickets that can still meet a part of their worth count; a question that waits for an instance is not asked again.

--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -15,8 +15,9 @@
 	adviceRepeat = 60 * time.Millisecond
 	// sparePatience is the time that further workers in a question may cost; they save a second question.
 	sparePatience = 5 * time.Millisecond
-	// adviceLoss is after which time a question counts as lost.
-	adviceLoss = 4 * time.Second
+	// adviceLoss is after which time a question counts as lost. Each question is answered or failed; one that
+	// waits for an instance must not be asked again.
+	adviceLoss = 30 * time.Second
 	// usualAsked is how many workers one question names if so many suffice. Source: the objectives count
 	// one call on 30 workers.
 	usualAsked = 30
@@ -55,6 +56,16 @@
 	return now.Add(ticketMargin).Before(ticket.expires)
 }
 
+// holdsTickets tells whether any ticket can be used.
+func (advice *advice) holdsTickets(now time.Time) bool {
+	for _, ticket := range advice.tickets {
+		if ticket.valid(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // refreshAdvice asks for tickets for a waiting step when it has none or they are of no use.
 func (planner *Planner) refreshAdvice(now time.Time, step *step) {
 	policy := step.job.policy.Advice
@@ -68,11 +79,7 @@
 		}
 		return
 	}
-	valid := false
-	for _, ticket := range advice.tickets {
-		valid = valid || ticket.valid(now)
-	}
-	if valid && (!advice.starved || now.Sub(advice.last) < max(adviceRepeat, policy.Base)) {
+	if advice.holdsTickets(now) && (!advice.starved || now.Sub(advice.last) < max(adviceRepeat, policy.Base)) {
 		return
 	}
 	workers := planner.chooseAsked(now, step)
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -26,8 +26,9 @@
 	patience = 1500 * time.Millisecond
 )
 
-// mostStarved is the number of steps without room behind which no step asks for advice: its tickets would
-// expire before its turn.
+// mostStarved is the number of steps with tickets but without room behind which no step asks for advice: its
+// tickets would expire before its turn. Steps that wait for tickets do not count, nor those that are late
+// anyway, since some of them may never find room.
 const mostStarved = 40
 
 // objective is the time from an occurrence's due time in which its caller wants it done.
@@ -110,7 +111,9 @@
 		if !order.step.advice.starved {
 			continue
 		}
-		starved++
+		if order.class < 2 && order.step.advice.holdsTickets(now) {
+			starved++
+		}
 		if order.step.Gang && order.class < 2 && reservations < mostReservations {
 			reservations++
 			planner.reserve(now, order.step)
