--- a/internal/cell/recorder/recorder.go
+++ b/internal/cell/recorder/recorder.go
@@ -95,7 +95,7 @@
 	if err == nil && order == "start" {
 		return
 	}
-	recorder.log(logger.EventOrderFailed,
+	recorder.log(logger.EventOrderAnswered,
 		slog.String("Order", order),
 		slog.String("Job", string(task.Job)),
 		slog.String("Task", task.String()),
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -509,11 +509,11 @@
 		Meaning: "The leader chose `Worker` for the run and writes it to the record. `Age` is how old the last answer of the worker was.",
 	},
 	{
-		Event:   EventOrderFailed,
-		Level:   slog.LevelWarn,
-		Name:    "OrderFailed",
-		Text:    "order to a worker failed",
-		Meaning: "`Order` got the answer `Error` after `Took`. An order without an answer is followed by an order to stop.",
+		Event:   EventOrderAnswered,
+		Level:   slog.LevelInfo,
+		Name:    "OrderAnswered",
+		Text:    "order to a worker answered",
+		Meaning: "`Order` got its answer after `Took`; `Error` is empty if the worker took it. Starts that were taken are not logged. A start without an answer is followed by an order to stop.",
 	},
 	{
 		Event:   EventRunEnded,
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -91,7 +91,7 @@
 	EventJobCancelRequested  Event = 905
 	EventJobPlanned          Event = 906
 	EventRunPlaced           Event = 907
-	EventOrderFailed         Event = 908
+	EventOrderAnswered       Event = 908
 	EventRunEnded            Event = 909
 	EventRunLost             Event = 910
 	EventCellJobEnded        Event = 911
