node: log the lines that were left out; remove calls that nothing uses

Change: the count is looked at each second and logged when it has grown; the dead code is gone. Conclusion: no decision changes.

--- a/cmd/pomelomoor/node.go
+++ b/cmd/pomelomoor/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"pomelomoor/internal/cell/assembler"
 	"pomelomoor/internal/client/commander"
@@ -44,5 +45,29 @@
 		return err
 	}
 	defer cleanup()
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go tellLeftOut(watching, queue, log)
 	return node.Serve(ctx)
 }
+
+// leftOutInterval is how often the number of log lines that were left out is looked at.
+const leftOutInterval = time.Second
+
+// tellLeftOut logs how many log lines were left out whenever there are more.
+func tellLeftOut(ctx context.Context, queue *logger.Queue, log *slog.Logger) {
+	ticker := time.NewTicker(leftOutInterval)
+	defer ticker.Stop()
+	var told int64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if dropped := queue.Dropped(); dropped > told {
+			told = dropped
+			logger.Log(ctx, log, logger.EventLinesLeftOut, slog.Int64("Lines", dropped))
+		}
+	}
+}
--- a/internal/cell/describer/orders.go
+++ b/internal/cell/describer/orders.go
@@ -185,8 +185,6 @@
 	Stop(ctx context.Context, target Target, order StopOrder) error
 	Pace(ctx context.Context, target Target, order PaceOrder) error
 	Look(ctx context.Context, target Target, order LookOrder) (Look, error)
-	// CloseIdle closes the idle connections, so that later calls use new ones.
-	CloseIdle()
 }
 
 // Ticket allows one worker to run a step.
--- a/internal/cell/messenger/messenger.go
+++ b/internal/cell/messenger/messenger.go
@@ -210,17 +210,6 @@
 	return cellpb.NewCellClient(conn), nil
 }
 
-// Drop closes the connection to an instance that did not answer, so that the next call opens a new one.
-func (messenger *Messenger) Drop(address netip.AddrPort) {
-	messenger.mutex.Lock()
-	defer messenger.mutex.Unlock()
-	if conn := messenger.conns[address]; conn != nil {
-		// A connection that is given up cannot fail in a way that matters.
-		_ = conn.Close()
-		delete(messenger.conns, address)
-	}
-}
-
 // State asks the leader at address for the state of a job.
 func (messenger *Messenger) State(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error) {
 	client, err := messenger.client(address)
