planner, advisor: questions for advice follow what can be placed

Cause: on the grown sites the advice service was the bottleneck, not the workers: in a trial of the load in virtual time 62 % of the processors were used while gangs and batches of three times the cell's size waited. Questions about late gangs stood before those about work that can meet its objective, gangs that could not be placed soon renewed their tickets all the time, long questions had at most half of the instances, and the 100 workers of one question are too few for a wide gang, since the tickets of all its members must be valid together. Change: questions are ordered by lateness first; while most of the cell is busy, only steps behind which at most 0.6 of the cell is claimed ask, gangs and other work apart; a step may have four questions open and asks for three times as many workers as would just do; long questions take at most 0.8 of the instances.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -15,9 +15,11 @@
 	// mostOpen is the number of questions that one instance has open: one that the service answers and
 	// one that is on its way.
 	mostOpen = 2
-	// longQuestion is the time from which on a question counts as long. Long questions take at most half
-	// of the instances, so that short ones do not wait behind them.
+	// longQuestion is the time from which on a question counts as long.
 	longQuestion = 150 * time.Millisecond
+	// longShare is the largest share of the instances that have a long question open, so that short ones do
+	// not wait behind them.
+	longShare = 0.8
 	// callMargin is added to the time of the questions before a call for the way and the service's delay.
 	callMargin = 1500 * time.Millisecond
 	// wayShare is the share of a new sample in the learned time of the way, as a divisor.
@@ -82,6 +84,9 @@
 	defer advisor.mutex.Unlock()
 	advisor.waiting = append(advisor.waiting, requests...)
 	slices.SortStableFunc(advisor.waiting, func(left, right planner.AdviceRequest) int {
+		if left.Lateness != right.Lateness {
+			return left.Lateness - right.Lateness
+		}
 		return left.Urgency.Compare(right.Urgency)
 	})
 	advisor.dispatch(ctx)
@@ -116,7 +121,7 @@
 
 // choose returns the instance with the least delay, or nil.
 func (advisor *Advisor) choose(now time.Time, long bool) *instance {
-	if long && advisor.long > 0 && 2*(advisor.long+1) > len(advisor.instances) {
+	if long && advisor.long > 0 && float64(advisor.long+1) > longShare*float64(len(advisor.instances)) {
 		return nil
 	}
 	var best *instance
--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -25,8 +25,12 @@
 	mostAsked = 100
 	// leastPerWorker is the least estimate of the tasks that a worker takes, for one that is full at the moment.
 	leastPerWorker = 0.5
-	// askedSurplus is by how much more workers are asked for than would just do.
-	askedSurplus = 1.5
+	// mostQuestions is how many questions about one step may be open. A wide gang needs the tickets of more
+	// workers at the same time than one question can name.
+	mostQuestions = 4
+	// askedSurplus is by how much more workers are asked for than would just do, since other steps take room
+	// of theirs before the answers come.
+	askedSurplus = 3
 	// leastAsked is the least number of workers that a question names.
 	leastAsked = 4
 	// usualAllowed is the share of the workers that is allowed, until it is learned.
@@ -35,7 +39,8 @@
 
 // advice is what the advice service said of a step.
 type advice struct {
-	// asked is when the open question was sent; zero if there is none.
+	// open is the number of questions that are not answered, asked is when the last of them was sent.
+	open  int
 	asked time.Time
 	last  time.Time
 	// tickets holds the tickets of the last answers.
@@ -67,15 +72,16 @@
 }
 
 // refreshAdvice asks for tickets for a waiting step when it has none or they are of no use.
-func (planner *Planner) refreshAdvice(now time.Time, step *step) {
+func (planner *Planner) refreshAdvice(now time.Time, order order) {
+	step := order.step
 	policy := step.job.policy.Advice
 	advice := &step.advice
 	if policy == nil || step.unplaced == 0 || step.blockers > 0 {
 		return
 	}
-	if !advice.asked.IsZero() {
+	if advice.open > 0 {
 		if now.Sub(advice.asked) > adviceLoss {
-			advice.asked = time.Time{}
+			advice.open = 0
 		}
 		return
 	}
@@ -87,13 +93,18 @@
 		return
 	}
 	advice.asked = now
-	planner.stats.AdviceCalls++
-	planner.effects.Advice = append(planner.effects.Advice, AdviceRequest{
-		Step:    step.id(),
-		Workers: workers,
-		Urgency: planner.latestStart(step),
-		Takes:   policy.Base + time.Duration(len(workers))*policy.PerWorker,
-	})
+	questions := (len(workers) + mostAsked - 1) / mostAsked
+	for named := range slices.Chunk(workers, (len(workers)+questions-1)/questions) {
+		advice.open++
+		planner.stats.AdviceCalls++
+		planner.effects.Advice = append(planner.effects.Advice, AdviceRequest{
+			Step:     step.id(),
+			Workers:  named,
+			Lateness: order.class,
+			Urgency:  order.latest,
+			Takes:    policy.Base + time.Duration(len(named))*policy.PerWorker,
+		})
+	}
 }
 
 // chooseAsked returns the workers to ask for: allowed ones whose tickets have to be renewed, and those
@@ -120,8 +131,8 @@
 	return workers
 }
 
-// askedCount is how many workers a question about step names: so many that those that are allowed and
-// have room are likely to take all tasks that wait.
+// askedCount is how many workers are asked for step: so many that those that are allowed and have room are
+// likely to take all tasks that wait.
 func (planner *Planner) askedCount(step *step) int {
 	share := step.job.queue.allowed
 	if share == 0 {
@@ -133,7 +144,7 @@
 	}
 	most := usualAsked
 	if wanted > usualAsked {
-		most = mostAsked
+		most = mostQuestions * mostAsked
 	}
 	return min(max(int(wanted), leastAsked), most)
 }
@@ -172,12 +183,21 @@
 // rank orders the workers that may be given work by their room, for one pass.
 func (planner *Planner) rank(now time.Time) {
 	planner.roomiest = planner.roomiest[:0]
+	planner.total, planner.free = 0, 0
+	var used int64
 	for _, worker := range planner.workers {
+		if worker.usable() {
+			planner.total += worker.description.Capacity.MilliCPU
+			used += worker.used.MilliCPU
+		}
 		if worker.usable() && !now.Before(worker.health.avoided) {
 			worker.rank = worker.room()
 			planner.roomiest = append(planner.roomiest, worker)
 		}
 	}
+	if planner.total > 0 {
+		planner.free = 1 - float64(used)/float64(planner.total)
+	}
 	slices.SortFunc(planner.roomiest, func(left, right *worker) int {
 		switch {
 		case left.rank > right.rank:
@@ -200,7 +220,7 @@
 		return
 	}
 	advice := &step.advice
-	advice.asked = time.Time{}
+	advice.open = max(advice.open-1, 0)
 	advice.last = now
 	if err != nil {
 		return
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -24,13 +24,18 @@
 	mostReservations = 3
 	// patience is the time before its latest start from which on work leaves kept workers to a gang.
 	patience = 1500 * time.Millisecond
+	// mostClaimed is the share of the cell that steps earlier in the order may wait for before a step asks for
+	// advice. Tickets last about as long as a task runs, so those of later steps would expire before their turn.
+	mostClaimed = 0.6
+	// mostStarved is the number of steps with tickets but without room behind which no step asks while most of
+	// the cell is free. Steps that wait for tickets do not count, nor those that are late anyway, since some of
+	// them may never find room and must not keep the others from asking.
+	mostStarved = 40
+	// mostlyFree is the free share of the cell from which on claims do not count. Source: work that waits
+	// while half of the capacity is free counts as lost by the rules of the platform's users.
+	mostlyFree = 0.5
 )
 
-// mostStarved is the number of steps with tickets but without room behind which no step asks for advice: its
-// tickets would expire before its turn. Steps that wait for tickets do not count, nor those that are late
-// anyway, since some of them may never find room.
-const mostStarved = 40
-
 // objective is the time from an occurrence's due time in which its caller wants it done.
 func (planner *Planner) objective(step *step) time.Duration {
 	policy := &step.job.policy
@@ -102,25 +107,42 @@
 	planner.rank(now)
 	clear(planner.reserved)
 	starved, reservations := 0, 0
+	// Gangs wait longer than narrow work and must not keep it from asking.
+	var claimedByGangs, claimed float64
 	for _, order := range orders {
-		if starved < mostStarved {
-			planner.refreshAdvice(now, order.step)
+		claims := &claimed
+		if order.step.Gang {
+			claims = &claimedByGangs
+		}
+		if *claims < mostClaimed || planner.free > mostlyFree && starved < mostStarved {
+			planner.refreshAdvice(now, order)
+		}
+		if order.class < 2 {
+			*claims += planner.share(order.step)
 		}
 		planner.patient = order.latest.Sub(now) > patience
 		planner.placeStep(now, order.step)
-		if !order.step.advice.starved {
+		if !order.step.advice.starved || order.class == 2 {
 			continue
 		}
-		if order.class < 2 && order.step.advice.holdsTickets(now) {
+		if order.step.advice.holdsTickets(now) {
 			starved++
 		}
-		if order.step.Gang && order.class < 2 && reservations < mostReservations {
+		if order.step.Gang && reservations < mostReservations {
 			reservations++
 			planner.reserve(now, order.step)
 		}
 	}
 }
 
+// share is the share of the cell's processors that the tasks of step which wait take.
+func (planner *Planner) share(step *step) float64 {
+	if planner.total == 0 {
+		return 0
+	}
+	return float64(step.unplaced) * float64(step.Needs.MilliCPU) / float64(planner.total)
+}
+
 // reserve keeps the workers that a waiting gang may use from work that can wait, for the rest of a pass.
 // Without it, narrow work takes each place as it becomes free and a wide gang never finds all of its own.
 func (planner *Planner) reserve(now time.Time, step *step) {
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -51,6 +51,10 @@
 	workers map[describer.WorkerID]*worker
 	// roomiest holds the workers that may be given work in this pass, the one with the most room first.
 	roomiest []*worker
+	// total is the capacity of the workers that can be used, in thousandths of a core.
+	total int64
+	// free is the share of total that no run has booked.
+	free float64
 	// reserved holds the workers that are kept for gangs in this pass; patient means that the step at
 	// hand can wait and leaves them.
 	reserved map[describer.WorkerID]bool
@@ -105,7 +109,9 @@
 type AdviceRequest struct {
 	Step    describer.StepID
 	Workers []describer.WorkerID
-	// Urgency orders the requests; earlier comes first.
+	// Lateness is 0 if the job can meet its objective, higher if it is late. Lower comes first.
+	Lateness int
+	// Urgency orders the requests of one lateness; earlier comes first.
 	Urgency time.Time
 	// Takes is how long the advice service needs.
 	Takes time.Duration
