planner, leader: learn sooner what became of calls without an answer

A start without an answer was stopped after 500 ms, and its task placed anew only after the worker's long look had ended and a second one had shown its list: 0.1 to 2.2 s later. A look without an answer hid the ends on its worker for 1.5 s, so that checks whose runs had ended at once were told as completed a second late.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -410,6 +410,9 @@
 	for _, stop := range effects.Stops {
 		go leader.stop(ctx, stop)
 	}
+	for _, id := range effects.Looks {
+		go leader.lookOnce(ctx, id)
+	}
 	if len(effects.Advice) > 0 {
 		leader.advisor.Add(ctx, effects.Advice)
 	}
@@ -468,23 +471,10 @@
 		if worker == nil {
 			return
 		}
-		sent := time.Now()
-		look, err := leader.options.Workers.Look(ctx, leader.target(worker), order)
+		err := leader.send(ctx, worker, order)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, describer.ErrFenced) {
-			leader.end(errFenced)
-			return
-		}
-		leader.mutex.Lock()
-		if err != nil {
-			leader.planner.LookFailed(time.Now(), id, err)
-		} else {
-			leader.planner.Looked(time.Now(), sent, id, look)
-		}
-		leader.mutex.Unlock()
-		leader.signal()
 		if err != nil {
 			watcher.Pause(ctx, failedLookPause)
 		} else {
@@ -493,6 +483,41 @@
 	}
 }
 
+// send carries out one look and hands its outcome to the planner.
+func (leader *Leader) send(ctx context.Context, worker *describer.Worker, order describer.LookOrder) error {
+	sent := time.Now()
+	look, err := leader.options.Workers.Look(ctx, leader.target(worker), order)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, describer.ErrFenced) {
+		leader.end(errFenced)
+		return err
+	}
+	leader.mutex.Lock()
+	if err != nil {
+		leader.planner.LookFailed(time.Now(), worker.ID, err)
+	} else {
+		leader.planner.Looked(time.Now(), sent, worker.ID, look)
+	}
+	leader.mutex.Unlock()
+	leader.signal()
+	return err
+}
+
+// lookOnce reads a worker's lists beside the look that waits there.
+func (leader *Leader) lookOnce(ctx context.Context, id describer.WorkerID) {
+	leader.mutex.Lock()
+	worker, order, _ := leader.planner.LookOrder(time.Now(), id)
+	leader.mutex.Unlock()
+	if worker == nil {
+		return
+	}
+	order.Wait = 0
+	// A failure is told to the planner; the look that waits goes on.
+	_ = leader.send(ctx, worker, order)
+}
+
 // nextLook waits until the ends of the last look are durable, since the worker would list them again at once.
 func (leader *Leader) nextLook(ctx context.Context, id describer.WorkerID) (*describer.Worker, describer.LookOrder) {
 	began := time.Now()
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -62,10 +62,12 @@
 	// waiting holds the steps that have tasks to place.
 	waiting map[*step]struct{}
 	// timed holds the jobs with occurrences that are not due yet.
-	timed   map[*job]struct{}
-	queues  map[string]*queueStats
-	dirty   map[describer.JobID]struct{}
-	effects Effects
+	timed  map[*job]struct{}
+	queues map[string]*queueStats
+	// unanswered are the times of the last calls to workers that got no answer.
+	unanswered []time.Time
+	dirty      map[describer.JobID]struct{}
+	effects    Effects
 	// changed means that a pass may find something to place.
 	changed bool
 	// stats counts decisions for the metrics.
@@ -87,6 +89,8 @@
 	Starts []Start
 	Stops  []Stop
 	Advice []AdviceRequest
+	// Looks are workers whose lists are wanted at once.
+	Looks  []describer.WorkerID
 	Events []Event
 }
 
--- a/internal/cell/planner/script_test.go
+++ b/internal/cell/planner/script_test.go
@@ -56,6 +56,7 @@
 	// checked are the stops that a check has seen.
 	checked map[string]bool
 	advice  []AdviceRequest
+	looks   []describer.WorkerID
 	ends    map[string]int64
 }
 
@@ -170,6 +171,7 @@
 		script.stops[stop.Order.Task.String()] = stop
 	}
 	script.advice = append(script.advice, effects.Advice...)
+	script.looks = append(script.looks, effects.Looks...)
 }
 
 func (script *script) queue(name string, options map[string]string) {
@@ -390,6 +392,16 @@
 	case "seen":
 		_, order, _ := script.planner.LookOrder(script.now, describer.WorkerID(words[0]))
 		got = words[0] + " " + strconv.FormatInt(order.Seen, 10)
+	case "looks":
+		var lines []string
+		for _, id := range script.looks {
+			lines = append(lines, string(id))
+		}
+		got = sortedText(lines)
+		script.looks = nil
+	case "lookwait":
+		_, order, _ := script.planner.LookOrder(script.now, describer.WorkerID(words[0]))
+		got = words[0] + " " + order.Wait.String()
 	case "questions":
 		got = strconv.Itoa(len(script.advice))
 	case "asked":
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -17,6 +17,14 @@
 	stopRepeat = 400 * time.Millisecond
 	// lookWait is how long a worker may wait for an end before it answers a look.
 	lookWait = time.Second
+	// cautiousWait is the same while calls to several workers get no answer. A look without an answer hides the
+	// ends on its worker until it has timed out.
+	cautiousWait = 300 * time.Millisecond
+	// cautiousTime is how long calls without an answer are remembered. Source: faults of the way to the workers
+	// last seconds.
+	cautiousTime = 3 * time.Second
+	// cautiousAfter is the number of calls without an answer that are more than the loss of one worker.
+	cautiousAfter = 3
 )
 
 // worker is what is known of a worker.
@@ -157,6 +165,9 @@
 	worker.advanceSeen()
 	order.Seen = worker.seen
 	order.Wait = lookWait
+	if planner.cautious(now) {
+		order.Wait = cautiousWait
+	}
 	if !worker.known || !worker.silentSince.IsZero() {
 		order.Wait = 0
 		// A new incarnation, whose ends count from 1, may answer: it must not forget any yet.
@@ -170,6 +181,17 @@
 	return worker.description, order, len(worker.unseen) > 0
 }
 
+// unanswer notes a call without an answer to a worker that was not silent before.
+func (planner *Planner) unanswer(now time.Time) {
+	planner.unanswered = append(planner.unanswered, now)
+	planner.unanswered = planner.unanswered[max(len(planner.unanswered)-cautiousAfter, 0):]
+}
+
+// cautious tells whether calls to workers are being lost.
+func (planner *Planner) cautious(now time.Time) bool {
+	return len(planner.unanswered) == cautiousAfter && now.Sub(planner.unanswered[0]) < cautiousTime
+}
+
 // extend notes that an order may make the leases on worker last for lease.
 func (worker *worker) extend(now time.Time, lease time.Duration) {
 	until := now.Add(time.Duration(float64(lease)/clockSlowness) + leaseMargin)
@@ -306,6 +328,7 @@
 	}
 	if worker.silentSince.IsZero() {
 		worker.silentSince = now
+		planner.unanswer(now)
 		planner.emit(Event{
 			Kind:   EventWorkerSilent,
 			Worker: worker.id,
@@ -478,6 +501,7 @@
 		run.progressed = now
 		run.task.step.job.begin()
 	case errors.Is(err, describer.ErrUncertain):
+		planner.unanswer(now)
 		run.worker.health.suspect(now)
 		planner.stop(now, run, "start got no answer")
 	case errors.Is(err, describer.ErrReborn):
@@ -500,4 +524,8 @@
 		return
 	}
 	run.confirmed = now
+	if run.progressed.IsZero() {
+		// The worker lists an end only if the run had begun. If it had not, no end wakes the look that waits.
+		planner.effects.Looks = append(planner.effects.Looks, run.worker.id)
+	}
 }
