planner: release runs whose tickets expired before their records were stored

Change: a run whose ticket has expired by the time its record is stored is released, and its step asks again.

--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -61,6 +61,11 @@
 	return now.Add(ticketMargin).Before(ticket.expires)
 }
 
+// expired tells whether a worker would no longer accept a ticket. Work that needs none has the zero ticket.
+func (ticket ticket) expired(now time.Time) bool {
+	return !ticket.expires.IsZero() && !now.Before(ticket.expires)
+}
+
 // holdsTickets tells whether any ticket can be used.
 func (advice *advice) holdsTickets(now time.Time) bool {
 	for _, ticket := range advice.tickets {
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -183,7 +183,7 @@
 	}
 	type place struct {
 		worker *worker
-		ticket string
+		ticket ticket
 	}
 	places := make([]place, 0, step.Count)
 	booked := map[*worker]int{}
@@ -246,11 +246,11 @@
 
 // choose returns the best worker for task and its ticket, or nil. Booked counts the tasks of the same
 // step that the pass is about to give to a worker.
-func (planner *Planner) choose(now time.Time, task *task, booked map[*worker]int) (best *worker, bestTicket string) {
+func (planner *Planner) choose(now time.Time, task *task, booked map[*worker]int) (best *worker, bestTicket ticket) {
 	step := task.step
 	needs := step.Occupied()
 	var bestScore float64
-	consider := func(worker *worker, ticket string) {
+	consider := func(worker *worker, ticket ticket) {
 		if planner.patient && planner.reserved[worker.id] {
 			return
 		}
@@ -273,7 +273,7 @@
 	if step.job.policy.Advice == nil {
 		for _, worker := range planner.roomiest {
 			if worker.suits(step) {
-				consider(worker, "")
+				consider(worker, ticket{})
 			}
 		}
 		return best, bestTicket
@@ -281,7 +281,7 @@
 	for id, ticket := range step.advice.tickets {
 		worker := planner.workers[id]
 		if worker != nil && ticket.valid(now) && worker.usable() && !now.Before(worker.health.avoided) && worker.suits(step) {
-			consider(worker, ticket.text)
+			consider(worker, ticket)
 		}
 	}
 	return best, bestTicket
@@ -299,7 +299,7 @@
 }
 
 // intend books a run, which starts when its record is durable.
-func (planner *Planner) intend(now time.Time, task *task, worker *worker, ticket string, number int) {
+func (planner *Planner) intend(now time.Time, task *task, worker *worker, ticket ticket, number int) {
 	job := task.step.job
 	run := &run{
 		task:   task,
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -259,7 +259,7 @@
 	confirmed  time.Time
 	percent    int
 	progressed time.Time
-	ticket     string
+	ticket     ticket
 }
 
 func (run *run) id() describer.TaskID {
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -454,6 +454,11 @@
 		planner.release(now, run, "worker left before the start")
 		return
 	}
+	if run.ticket.expired(now) {
+		run.phase = phaseStopping
+		planner.release(now, run, "ticket expired before the record was stored")
+		return
+	}
 	run.phase = phaseStarting
 	worker.extend(now, startDeadline)
 	planner.effects.Starts = append(planner.effects.Starts, Start{
@@ -463,7 +468,7 @@
 			Run:        run.number,
 			Payload:    run.task.step.job.Payload,
 			Checkpoint: run.task.checkpoint,
-			Ticket:     run.ticket,
+			Ticket:     run.ticket.text,
 			Deadline:   worker.clockNow(now) + startDeadline,
 		},
 		Waited: now.Sub(run.task.step.job.Submitted),
