elector, planner: a new leader waits 14 s instead of 22 s for workers out of reach

The 22 s were 12 s in which an earlier leader may go on without the store, and 10 s as the longest lease, though no leader asks for more than 6 s. Change: a leader goes on without the store for 8 s, after which leases last 6 s more; a new leader waits for the lease that leaders ask for. Each takeover still begins the time anew (docs/platform.md). Test: script new-leader-silent-worker, whose run is now placed anew between 14 and 15 s and not before.

--- a/internal/cell/assembler/assembler.go
+++ b/internal/cell/assembler/assembler.go
@@ -322,7 +322,7 @@
 			LongestLease:    bounds.LongestLease,
 			StatusRetention: bounds.StatusRetention,
 			RemoteFactor:    bounds.RemoteFactor,
-			InheritedHold:   elector.MostSilence + bounds.LongestLease,
+			InheritedHold:   elector.MostSilence,
 		},
 		WorkerPrefix: platform.WorkerPrefix,
 		ParseWorker:  platform.ParseWorker,
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -36,9 +36,9 @@
 	renewTimeout  = 400 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
-	// MostSilence is how long a leader goes on without the store. Running work outlasts an outage of
-	// that length; a new leader waits as long for workers that do not answer.
-	MostSilence = 12 * time.Second
+	// MostSilence is how long a leader goes on without the store. Running work outlasts an outage of this time
+	// and one lease of the workers; a new leader has to wait as long for workers that it cannot reach.
+	MostSilence = 8 * time.Second
 	// farDelay is by how much a candidate waits for each millisecond to the store.
 	farDelay = 3
 	// mostFarDelay bounds that delay.
--- a/internal/cell/planner/planner.go
+++ b/internal/cell/planner/planner.go
@@ -21,9 +21,9 @@
 	// RemoteFactor is by how much tasks are slower away from their rack.
 	RemoteFactor float64
 	// Takeover is when this term began. Runs that an earlier leader started may be held until
-	// Takeover + InheritedHold on a worker that does not answer.
+	// Takeover + InheritedHold, and one lease more, on a worker that does not answer.
 	Takeover time.Time
-	// InheritedHold is how long an earlier leader may have gone on to renew leases.
+	// InheritedHold is how long after Takeover an earlier leader may go on to renew leases.
 	InheritedHold time.Duration
 }
 
--- a/internal/cell/planner/record.go
+++ b/internal/cell/planner/record.go
@@ -219,7 +219,7 @@
 	if born := time.UnixMilli(entry.Born); born.After(worker.born) {
 		worker.born = born
 	}
-	worker.leaseUntil = planner.options.Takeover.Add(planner.options.InheritedHold)
+	worker.extend(planner.options.Takeover.Add(planner.options.InheritedHold), planner.lease())
 	run := &run{
 		task:   task,
 		number: entry.Run,
--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -174,9 +174,8 @@
 		order.Seen = 0
 	}
 	if worker.silentSince.IsZero() || now.Sub(worker.silentSince) < extendSilent {
-		lease := min(planner.options.LongestLease, usualLease)
-		order.Deadline = worker.clockNow(now) + lease
-		worker.extend(now, lease)
+		order.Deadline = worker.clockNow(now) + planner.lease()
+		worker.extend(now, planner.lease())
 	}
 	return worker.description, order, len(worker.unseen) > 0
 }
@@ -192,6 +191,11 @@
 	return len(planner.unanswered) == cautiousAfter && now.Sub(planner.unanswered[0]) < cautiousTime
 }
 
+// lease is how long the leases of workers are renewed for.
+func (planner *Planner) lease() time.Duration {
+	return min(planner.options.LongestLease, usualLease)
+}
+
 // extend notes that an order may make the leases on worker last for lease.
 func (worker *worker) extend(now time.Time, lease time.Duration) {
 	until := now.Add(time.Duration(float64(lease)/clockSlowness) + leaseMargin)
