--- a/internal/cell/relayer/relayer.go
+++ b/internal/cell/relayer/relayer.go
@@ -37,7 +37,7 @@
 	Peer   Peer
 	// Peers returns the instances to try, the best first.
 	Peers func() []netip.AddrPort
-	// Changed, if set, is told when the store was lost, with the error, or is back.
+	// Changed, if set, is told when the store was lost, with the error, or is back, with nil.
 	Changed func(err error)
 
 	mutex   sync.Mutex
@@ -66,9 +66,14 @@
 	}
 	changed := relayer.lost != was
 	relayer.mutex.Unlock()
-	if changed && relayer.Changed != nil {
-		relayer.Changed(err)
+	if !changed || relayer.Changed == nil {
+		return
 	}
+	if answered(err) {
+		// An answer such as "no such key" shows that the store is back.
+		err = nil
+	}
+	relayer.Changed(err)
 }
 
 // Reachable tells whether the store answers this instance.
--- a/internal/cell/relayer/relayer_test.go
+++ b/internal/cell/relayer/relayer_test.go
@@ -85,3 +85,21 @@
 		}
 	}
 }
+
+// TestChanged guards against a store that is told as lost when its first answer after an outage is an error
+// of its own, such as a key that is not there.
+func TestChanged(t *testing.T) {
+	var told []error
+	relayer := &Relayer{
+		Changed: func(err error) {
+			told = append(told, err)
+		},
+	}
+	relayer.Contact(describer.ErrNotDone)
+	relayer.Contact(describer.ErrUncertain)
+	relayer.Contact(describer.ErrNotFound)
+	relayer.Contact(nil)
+	if len(told) != 2 || !errors.Is(told[0], describer.ErrNotDone) || told[1] != nil {
+		t.Errorf("told %v, want one loss and one return", told)
+	}
+}
