planner: gangs that work at full speed on one rack are placed on one

Cause: the field was read and not used: such gangs were spread over racks and took remoteFactor times as long. Change: the racks that could hold a gang are tried in order of their room, and their workers are asked for first. A gang waits for a rack until its latest start, then it is spread; if no rack can hold it, it is spread at once. Test: script one-rack.

--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -117,7 +117,8 @@
 func (planner *Planner) chooseAsked(now time.Time, step *step) []describer.WorkerID {
 	count := planner.askedCount(step)
 	workers := make([]describer.WorkerID, 0, count)
-	for _, worker := range planner.roomiest {
+	candidates := planner.byRack(step)
+	for _, worker := range candidates {
 		if len(workers) == count {
 			break
 		}
@@ -125,7 +126,7 @@
 			workers = append(workers, worker.id)
 		}
 	}
-	for _, worker := range planner.roomiest {
+	for _, worker := range candidates {
 		if len(workers) == count {
 			break
 		}
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -165,7 +165,7 @@
 		if task.state != taskWaiting {
 			continue
 		}
-		worker, ticket := planner.choose(now, task, nil)
+		worker, ticket := planner.choose(now, task, nil, "")
 		if worker == nil {
 			step.advice.starved = true
 			return
@@ -175,23 +175,42 @@
 	step.advice.starved = false
 }
 
+// place is where a task of a gang is to run.
+type place struct {
+	worker *worker
+	ticket ticket
+}
+
 // placeGang places all tasks of a gang or none.
 func (planner *Planner) placeGang(now time.Time, step *step) {
 	if step.unplaced < step.Count {
 		// Members of an earlier run have not ended yet.
 		return
 	}
-	type place struct {
-		worker *worker
-		ticket ticket
+	places := planner.findPlaces(now, step)
+	step.advice.starved = places == nil
+	if places == nil {
+		return
 	}
+	step.gangRun++
+	checkpoint := ""
+	for _, task := range step.tasks {
+		checkpoint = max(checkpoint, task.checkpoint)
+	}
+	for index, task := range step.tasks {
+		task.checkpoint = checkpoint
+		planner.intend(now, task, places[index].worker, places[index].ticket, step.gangRun)
+	}
+}
+
+// gather returns a place for each task of step on rack, or on any if rack is empty; nil if they do not all fit.
+func (planner *Planner) gather(now time.Time, step *step, rack string) []place {
 	places := make([]place, 0, step.Count)
 	booked := map[*worker]int{}
 	for _, task := range step.tasks {
-		worker, ticket := planner.choose(now, task, booked)
+		worker, ticket := planner.choose(now, task, booked, rack)
 		if worker == nil {
-			step.advice.starved = true
-			return
+			return nil
 		}
 		booked[worker]++
 		places = append(places, place{
@@ -199,16 +218,7 @@
 			ticket: ticket,
 		})
 	}
-	step.advice.starved = false
-	step.gangRun++
-	checkpoint := ""
-	for _, task := range step.tasks {
-		checkpoint = max(checkpoint, task.checkpoint)
-	}
-	for index, task := range step.tasks {
-		task.checkpoint = checkpoint
-		planner.intend(now, task, places[index].worker, places[index].ticket, step.gangRun)
-	}
+	return places
 }
 
 // usable tells whether worker may be given work at all.
@@ -245,13 +255,13 @@
 }
 
 // choose returns the best worker for task and its ticket, or nil. Booked counts the tasks of the same
-// step that the pass is about to give to a worker.
-func (planner *Planner) choose(now time.Time, task *task, booked map[*worker]int) (best *worker, bestTicket ticket) {
+// step that the pass is about to give to a worker; rack, if it is not empty, is where the worker has to be.
+func (planner *Planner) choose(now time.Time, task *task, booked map[*worker]int, rack string) (best *worker, bestTicket ticket) {
 	step := task.step
 	needs := step.Occupied()
 	var bestScore float64
 	consider := func(worker *worker, ticket ticket) {
-		if planner.patient && planner.reserved[worker.id] {
+		if planner.patient && planner.reserved[worker.id] || rack != "" && worker.description.Rack != rack {
 			return
 		}
 		free := worker.description.Capacity.Sub(worker.used)
--- a/internal/cell/planner/script_test.go
+++ b/internal/cell/planner/script_test.go
@@ -226,6 +226,7 @@
 			Count:         script.count(options, "count", 1),
 			Estimate:      time.Duration(script.count(options, "estimate", 1000)) * time.Millisecond,
 			Gang:          script.has(options, "gang"),
+			OneRack:       script.has(options, "onerack"),
 			Perpetual:     script.has(options, "perpetual"),
 			Checkpoints:   script.has(options, "checkpoints"),
 			Label:         options["label"],
