assembler: a planned stop leaves idle connections open until the balancer has noticed

Change: while it stops, an instance has each connection closed with its next answer; idle ones stay until it no longer takes calls.

--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -50,7 +50,7 @@
 	startLimit = 30 * time.Second
 	pollPause  = 20 * time.Millisecond
 	// settleLimit is how long accepted work may take after all faults are over: leases of up to 6 s that
-	// an earlier leader may have renewed for 12 s, and the work itself, on a busy machine.
+	// an earlier leader may have renewed for 8 s, and the work itself, on a busy machine.
 	settleLimit = 60 * time.Second
 )
 
--- a/internal/cell/assembler/assembler.go
+++ b/internal/cell/assembler/assembler.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -80,6 +81,9 @@
 	resign   context.CancelFunc
 	electing context.Context
 
+	// draining means that the instance was told to stop.
+	draining atomic.Bool
+
 	mutex  sync.Mutex
 	leader *leader.Leader
 }
@@ -212,7 +216,7 @@
 	}{
 		{
 			address: node.settings.Front,
-			handler: platform.NewCallHandler(node.desk),
+			handler: node.lastCalls(platform.NewCallHandler(node.desk)),
 		},
 		{
 			address: node.settings.Ready,
@@ -245,6 +249,17 @@
 	return servers, nil
 }
 
+// lastCalls has each connection closed with its next answer while the instance stops. Idle connections stay
+// open until the balancer has noticed, since a call may be on its way on any of them.
+func (node *Node) lastCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if node.draining.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 // drain serves on until the balancer has noticed, and then ends the servers as their calls end.
 func (node *Node) drain(servers []*http.Server) error {
 	node.mutex.Lock()
@@ -255,9 +270,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(grace-stopMargin, 0))
 	defer cancel()
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	node.draining.Store(true)
 	watcher.Pause(ctx, min(lingerTime, grace/2))
 	var faults []error
 	for _, server := range servers {
