--- a/internal/cell/planner/workers.go
+++ b/internal/cell/planner/workers.go
@@ -18,6 +18,9 @@
 	// cautiousWait is the same while calls to several workers get no answer. A look without an answer hides the
 	// ends on its worker until it has timed out.
 	cautiousWait = 300 * time.Millisecond
+	// lookPace is the least mean time between two looks that wait so short, so that the looks at many workers do
+	// not keep a leader from the answers to its orders.
+	lookPace = 3 * time.Millisecond
 	// cautiousTime is how long calls without an answer are remembered. Source: faults of the way to the workers
 	// last seconds.
 	cautiousTime = 3 * time.Second
@@ -164,7 +167,7 @@
 	order.Seen = worker.seen
 	order.Wait = lookWait
 	if planner.cautious(now) {
-		order.Wait = cautiousWait
+		order.Wait = min(max(cautiousWait, time.Duration(len(planner.workers))*lookPace), lookWait)
 	}
 	if !worker.known || !worker.silentSince.IsZero() {
 		order.Wait = 0
