--- a/internal/cell/leader/imitation_test.go
+++ b/internal/cell/leader/imitation_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
+	"hash/crc32"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -129,9 +129,9 @@
 		Validity: validity,
 	}
 	for _, worker := range request.Workers {
-		hash := fnv.New32a()
-		fmt.Fprint(hash, request.Step, worker)
-		if rand.New(rand.NewPCG(uint64(hash.Sum32()), 1)).Float64() < good {
+		// The service's answer for a step and a worker does not change.
+		seed := crc32.ChecksumIEEE([]byte(request.Step.String() + string(worker)))
+		if rand.New(rand.NewPCG(uint64(seed), 1)).Float64() < good {
 			answer.Tickets = append(answer.Tickets, describer.Ticket{
 				Worker: worker,
 				Ticket: "ticket",
