planner: one function for the free capacity of a worker

Cause: four places subtracted the booked from the whole capacity, and slots took a worker that it did not use. Change: free and slots, behaviour unchanged.

--- a/internal/cell/planner/advice.go
+++ b/internal/cell/planner/advice.go
@@ -161,7 +161,7 @@
 		return 1
 	}
 	worker := planner.roomiest[len(planner.roomiest)/2]
-	free := worker.description.Capacity.Sub(worker.used)
+	free := worker.free()
 	needs := step.Occupied()
 	count := float64(step.Count)
 	if needs.MilliCPU > 0 {
@@ -182,7 +182,7 @@
 	if capacity.MilliCPU == 0 {
 		return 0
 	}
-	free := capacity.Sub(worker.used)
+	free := worker.free()
 	return float64(free.MilliCPU) / float64(capacity.MilliCPU) / worker.health.factor()
 }
 
--- a/internal/cell/planner/place.go
+++ b/internal/cell/planner/place.go
@@ -221,6 +221,11 @@
 	return places
 }
 
+// free is the capacity of worker that no run has booked.
+func (worker *worker) free() descriptor.Resources {
+	return worker.description.Capacity.Sub(worker.used)
+}
+
 // usable tells whether worker may be given work at all.
 func (worker *worker) usable() bool {
 	return worker.known && !worker.gone && worker.description != nil && !worker.description.Draining &&
@@ -264,7 +269,7 @@
 		if planner.patient && planner.reserved[worker.id] || rack != "" && worker.description.Rack != rack {
 			return
 		}
-		free := worker.description.Capacity.Sub(worker.used)
+		free := worker.free()
 		more := booked[worker]
 		for range more {
 			free = free.Sub(needs)
--- a/internal/cell/planner/racks.go
+++ b/internal/cell/planner/racks.go
@@ -32,8 +32,8 @@
 				name: name,
 			}
 		}
-		byName[name].free += worker.slots(step, worker.description.Capacity.Sub(worker.used))
-		byName[name].possible += worker.slots(step, worker.description.Capacity)
+		byName[name].free += step.slots(worker.free())
+		byName[name].possible += step.slots(worker.description.Capacity)
 	}
 	var racks []rack
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
@@ -47,8 +47,8 @@
 	return racks
 }
 
-// slots is the number of tasks of step that fit into resources of worker.
-func (worker *worker) slots(step *step, resources descriptor.Resources) int {
+// slots is the number of tasks of step that fit into resources of one worker.
+func (step *step) slots(resources descriptor.Resources) int {
 	needs := step.Occupied()
 	count := step.Count
 	if step.MostPerWorker > 0 {
