scheduler, elector: a change of the leader no longer delays lasting tasks by 14 s

Cause: a new leader assumed for every run that its predecessor could renew the leases for 8 s after the takeover, and kept that bound for workers that had answered it meanwhile.

Change: the first answer of a worker to a new leader ends the inherited bound, since the worker has then seen the newer fencing token. A leader renews leases only while its term is confirmed: by its own lease, or by other instances that still see its leader key or cannot reach the store either. One that hears of another leader, or of none, steps down at once. The inherited bound is 2 s instead of 8 s. Leases last 5 s (6 s), and a silent worker's are renewed for 1 s (1.5 s).

An outage that the leader survives still loses no work: it goes on renewing while the others cannot reach the store.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -135,11 +135,12 @@
 			Address:     options.Settings.Peer,
 			DataCentre:  options.Settings.DataCentre,
 		},
-		CPUCores:     options.Settings.CPUCores,
-		RunLeader:    instance.runTerm,
-		OnViewChange: instance.membersChanged,
-		OnStoreCall:  instance.relayer.RecordOutcome,
-		OnEvent:      instance.observer.LeadershipChanged,
+		CPUCores:         options.Settings.CPUCores,
+		RunLeader:        instance.runTerm,
+		ReadThroughPeers: instance.relayer.RelayedRead,
+		OnViewChange:     instance.membersChanged,
+		OnStoreCall:      instance.relayer.RecordOutcome,
+		OnEvent:          instance.observer.LeadershipChanged,
 	})
 	return instance, func() {
 		instance.resign()
@@ -337,7 +338,7 @@
 			MaxLease:         bounds.MaxLease,
 			StatusRetention:  bounds.StatusRetention,
 			RemoteFactor:     bounds.RemoteFactor,
-			InheritedRenewal: elector.MaxStoreSilence,
+			InheritedRenewal: elector.MaxInheritedRenewal,
 		},
 		WorkerPrefix:  platform.WorkerPrefix,
 		ParseWorker:   platform.ParseWorker,
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -38,10 +38,17 @@
 	renewTimeout  = 400 * time.Millisecond
 	// retryDelay is the delay before a failed call is repeated.
 	retryDelay = 100 * time.Millisecond
-	// MaxStoreSilence is how long a leader continues, and renews the leases of workers, without a successful renewal of
-	// its own lease. Runs survive a store outage of this length plus one worker lease. A new leader has to wait for
-	// MaxStoreSilence plus one worker lease too, before it restarts the runs of workers that it cannot reach.
-	MaxStoreSilence = 8 * time.Second
+	// maxStoreSilence is how long a leader continues without a successful renewal of its own lease. Runs survive a
+	// store outage of this length plus one worker lease.
+	maxStoreSilence = 8 * time.Second
+	// confirmationValidity is how long a term counts as confirmed after a renewal, or after other instances have told
+	// that the leader key still stands or that they cannot reach the store either.
+	confirmationValidity = 1200 * time.Millisecond
+	// peerTimeout limits the calls to other instances that confirm a term.
+	peerTimeout = 400 * time.Millisecond
+	// MaxInheritedRenewal is how long after the start of a term a former leader may still renew the leases of workers:
+	// confirmationValidity, and the time after an outage in which other instances do not know yet that it is over.
+	MaxInheritedRenewal = 2 * time.Second
 	// latencyDelayFactor is the latency delay of a candidate as a multiple of the shortest response time of the store.
 	// Before it claims the leadership, a candidate waits for the sum of this delay, the CPU delay and a random delay.
 	latencyDelayFactor = 3
@@ -70,6 +77,14 @@
 	// LeaderKey is an expectation on the leader key that holds while the term lasts.
 	LeaderKey describer.Expectation
 	StartTime time.Time
+	// IsConfirmed, if set, reports whether no other instance can have become the leader yet.
+	IsConfirmed func() bool
+}
+
+// Confirmed reports whether the term is sure to be the newest, so that the leader may renew the leases of workers.
+// A leader that is cut off from the store goes on, but must leave the leases to its successor.
+func (term Term) Confirmed() bool {
+	return term.IsConfirmed == nil || term.IsConfirmed()
 }
 
 // View is what an instance knows of the leader and the members.
@@ -89,6 +104,9 @@
 	CPUCores float64
 	// RunLeader runs the leader until ctx is cancelled or the term cannot continue.
 	RunLeader func(ctx context.Context, term Term) error
+	// ReadThroughPeers, if set, reads a key of the store through other instances. It returns ErrNoEffect if one of them
+	// answers that it cannot reach the store either.
+	ReadThroughPeers func(ctx context.Context, key string) (describer.Item, error)
 	// OnViewChange, if set, is called with each new view.
 	OnViewChange func(view View)
 	// OnStoreCall, if set, is called with the outcome of each call to the store.
@@ -109,6 +127,8 @@
 	minStoreLatency time.Duration
 	// lastRenewal is when the last successful renewal was sent.
 	lastRenewal time.Time
+	// lastConfirmation is when the call was sent whose answer last confirmed the current term.
+	lastConfirmation time.Time
 	// cancelTerm ends the current term; nil without one.
 	cancelTerm context.CancelFunc
 	fence      describer.Fence
@@ -254,6 +274,7 @@
 		elector.recordLatency(time.Since(sent))
 		elector.mutex.Lock()
 		elector.lastRenewal = sent
+		elector.lastConfirmation = sent
 		elector.mutex.Unlock()
 	case errors.Is(err, describer.ErrNotFound):
 		// The store no longer has the lease, so the instance's keys are gone too.
@@ -264,13 +285,44 @@
 		elector.stepDown("lease ended")
 	default:
 		elector.checkStoreSilence()
+		elector.confirmThroughPeers(ctx)
+	}
+}
+
+// confirmThroughPeers finds out from other instances whether the term can have ended while this one does not reach
+// the store. While the store is down for all of them, no other instance can become the leader.
+func (elector *Elector) confirmThroughPeers(ctx context.Context) {
+	elector.mutex.Lock()
+	fence, leading := elector.fence, elector.cancelTerm != nil
+	elector.mutex.Unlock()
+	if !leading || elector.options.ReadThroughPeers == nil {
+		return
+	}
+	sent := time.Now()
+	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	item, err := elector.options.ReadThroughPeers(peerCtx, LeaderKey)
+	switch {
+	case err == nil && item.Revision == describer.Revision(fence), errors.Is(err, describer.ErrNoEffect):
+		elector.mutex.Lock()
+		elector.lastConfirmation = sent
+		elector.mutex.Unlock()
+	case err == nil, errors.Is(err, describer.ErrNotFound):
+		elector.stepDown("other instances see another leader or none")
 	}
 }
 
-// checkStoreSilence ends the term once no lease renewal has succeeded for MaxStoreSilence.
+// confirmed reports whether the current term is sure to be the newest.
+func (elector *Elector) confirmed() bool {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	return time.Since(elector.lastConfirmation) < confirmationValidity
+}
+
+// checkStoreSilence ends the term once no lease renewal has succeeded for maxStoreSilence.
 func (elector *Elector) checkStoreSilence() {
 	elector.mutex.Lock()
-	unreachable := time.Since(elector.lastRenewal) > MaxStoreSilence
+	unreachable := time.Since(elector.lastRenewal) > maxStoreSilence
 	elector.mutex.Unlock()
 	if unreachable {
 		elector.stepDown("no lease renewal succeeded within the limit")
@@ -470,6 +522,7 @@
 	elector.mutex.Lock()
 	elector.cancelTerm = cancel
 	elector.fence = fence
+	elector.lastConfirmation = termStart
 	elector.view.Leader = &self
 	elector.view.Fence = fence
 	view := elector.view
@@ -485,7 +538,8 @@
 			Key:      LeaderKey,
 			Revision: describer.Revision(fence),
 		},
-		StartTime: termStart,
+		StartTime:   termStart,
+		IsConfirmed: elector.confirmed,
 	})
 	// The leader has returned, and its leader key is about to be removed.
 	elector.reportEvent("term ended", fence, err)
--- a/internal/cell/leader/poll.go
+++ b/internal/cell/leader/poll.go
@@ -67,7 +67,7 @@
 // pollOnce reads a worker's lists at once, alongside the long poll that is waiting there.
 func (leader *Leader) pollOnce(ctx context.Context, id describer.WorkerID) {
 	leader.mutex.Lock()
-	worker, order, _ := leader.scheduler.PollOrder(time.Now(), id)
+	worker, order, _ := leader.scheduler.PollOrder(time.Now(), id, leader.term.Confirmed())
 	leader.mutex.Unlock()
 	if worker == nil {
 		return
@@ -83,7 +83,7 @@
 	startTime := time.Now()
 	for {
 		leader.mutex.Lock()
-		worker, order, recordsPending := leader.scheduler.PollOrder(time.Now(), id)
+		worker, order, recordsPending := leader.scheduler.PollOrder(time.Now(), id, leader.term.Confirmed())
 		if worker == nil {
 			delete(leader.polling, id)
 		}
--- a/internal/cell/relayer/relayer.go
+++ b/internal/cell/relayer/relayer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	relayTimeout = 700 * time.Millisecond
 	// maxRelayPeers is the number of instances tried for one call.
 	maxRelayPeers = 2
+	// maxAskedPeers is the number of instances that are asked at the same time for one relayed read.
+	maxAskedPeers = 4
 )
 
 // Peer makes store calls through another instance.
@@ -121,6 +124,41 @@
 	return item, err
 }
 
+// RelayedRead reads a key through other instances only, and asks several at the same time. Its error is ErrNoEffect
+// if none of them read the key and at least one answered that it cannot reach the store.
+func (relayer *Relayer) RelayedRead(ctx context.Context, key string) (describer.Item, error) {
+	type answer struct {
+		item describer.Item
+		err  error
+	}
+	peers := relayer.Peers()
+	rand.Shuffle(len(peers), func(left, right int) {
+		peers[left], peers[right] = peers[right], peers[left]
+	})
+	peers = peers[:min(len(peers), maxAskedPeers)]
+	answers := make(chan answer, len(peers))
+	for _, address := range peers {
+		go func() {
+			item, err := relayer.Peer.Read(ctx, address, key)
+			answers <- answer{
+				item: item,
+				err:  err,
+			}
+		}()
+	}
+	err := errors.Wrap(describer.ErrUncertain, "no other instance answered")
+	for range peers {
+		answer := <-answers
+		if storeAnswered(answer.err) {
+			return answer.item, answer.err
+		}
+		if errors.Is(answer.err, describer.ErrNoEffect) {
+			err = answer.err
+		}
+	}
+	return describer.Item{}, err
+}
+
 // Commit makes a change, directly or through another instance. Because it may be attempted more than once, the
 // change must be one that cannot take effect twice. ErrNoEffect means that no attempt can have had an effect.
 func (relayer *Relayer) Commit(ctx context.Context, change describer.Change) (describer.Revision, error) {
--- a/internal/cell/scheduler/poll_test.go
+++ b/internal/cell/scheduler/poll_test.go
@@ -52,7 +52,7 @@
 		for range test.lost {
 			scheduler.noteUnanswered(now)
 		}
-		if _, order, _ := scheduler.PollOrder(now, "0"); order.Wait != test.want {
+		if _, order, _ := scheduler.PollOrder(now, "0", true); order.Wait != test.want {
 			t.Errorf("%d workers, %d calls lost: waits %s, want %s", test.workers, test.lost, order.Wait, test.want)
 		}
 	}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -34,7 +34,7 @@
 	leaseMargin = 300 * time.Millisecond
 	// defaultLease is the requested lease: long enough to outlast a change of leader, short enough to restart the
 	// tasks of a lost worker soon.
-	defaultLease = 6 * time.Second
+	defaultLease = 5 * time.Second
 	// startValidity is how long a start order may be carried out, by the worker's clock.
 	startValidity = 2 * time.Second
 	// retentionMargin extends the retention of ended jobs for callers that retry a submission.
--- a/internal/cell/scheduler/script_test.go
+++ b/internal/cell/scheduler/script_test.go
@@ -80,7 +80,7 @@
 		StatusRetention:  120 * time.Second,
 		RemoteFactor:     3,
 		Takeover:         script.now,
-		InheritedRenewal: 8 * time.Second,
+		InheritedRenewal: 2 * time.Second,
 	}, script.config)
 	script.starts = map[string]Start{}
 	script.stops = map[string]Stop{}
@@ -144,6 +144,10 @@
 		script.store(words)
 	case "poll":
 		script.poll(words[0], words[1:])
+	case "unconfirmed":
+		// A poll of a leader that cannot be sure that it still leads gets no answer.
+		script.scheduler.PollOrder(script.now, describer.WorkerID(words[0]), false)
+		script.scheduler.PollFailed(script.now, describer.WorkerID(words[0]), describer.ErrUncertain)
 	case "silent":
 		script.scheduler.PollFailed(script.now, describer.WorkerID(words[0]), describer.ErrUncertain)
 	case "started":
@@ -296,7 +300,7 @@
 		Clock:       script.now.Sub(scriptStart),
 		Incarnation: time.UnixMilli(1),
 	}
-	script.scheduler.PollOrder(script.now, describer.WorkerID(id))
+	script.scheduler.PollOrder(script.now, describer.WorkerID(id), true)
 	for _, word := range words {
 		name, value, ended := strings.Cut(word, "=")
 		if name == "incarnation" {
@@ -392,7 +396,7 @@
 	case "pending":
 		got = words[0] + " " + strconv.Itoa(script.scheduler.Pending(words[0]))
 	case "acknowledged":
-		_, order, _ := script.scheduler.PollOrder(script.now, describer.WorkerID(words[0]))
+		_, order, _ := script.scheduler.PollOrder(script.now, describer.WorkerID(words[0]), true)
 		got = words[0] + " " + strconv.FormatInt(order.AcknowledgedEnd, 10)
 	case "polls":
 		var lines []string
@@ -402,7 +406,7 @@
 		got = sortedText(lines)
 		script.polls = nil
 	case "pollwait":
-		_, order, _ := script.scheduler.PollOrder(script.now, describer.WorkerID(words[0]))
+		_, order, _ := script.scheduler.PollOrder(script.now, describer.WorkerID(words[0]), true)
 		got = words[0] + " " + order.Wait.String()
 	case "requests":
 		got = strconv.Itoa(len(script.advice))
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -10,7 +10,7 @@
 const (
 	// silentRenewalPeriod is how long the leases of a silent worker are still renewed. A worker whose answers are
 	// lost keeps its runs that long. After that its leases lapse, so that the runs can start elsewhere.
-	silentRenewalPeriod = 1500 * time.Millisecond
+	silentRenewalPeriod = time.Second
 	// stopRetryInterval is the interval between stop orders for the same run.
 	stopRetryInterval = 400 * time.Millisecond
 	// pollWait is how long a worker may wait for a run to end before it answers a poll.
@@ -160,8 +160,9 @@
 }
 
 // PollOrder returns the next order to poll a worker. The description is nil if the worker is no longer known.
-// unacknowledged means that ends wait for their records, so that the worker would answer at once.
-func (scheduler *Scheduler) PollOrder(now time.Time, id describer.WorkerID) (description *describer.Worker, order describer.PollOrder, unacknowledged bool) {
+// unacknowledged means that ends wait for their records, so that the worker would answer at once. The order renews
+// the leases on the worker only if renew is set, which means that this term is sure to be the newest.
+func (scheduler *Scheduler) PollOrder(now time.Time, id describer.WorkerID, renew bool) (description *describer.Worker, order describer.PollOrder, unacknowledged bool) {
 	worker := scheduler.workers[id]
 	if worker == nil || worker.description == nil {
 		return nil, order, false
@@ -177,7 +178,7 @@
 		// A new incarnation may answer. It numbers its ends from 1 and must not forget any of them yet.
 		order.AcknowledgedEnd = 0
 	}
-	if worker.silentSince.IsZero() || now.Sub(worker.silentSince) < silentRenewalPeriod {
+	if renew && (worker.silentSince.IsZero() || now.Sub(worker.silentSince) < silentRenewalPeriod) {
 		order.Deadline = worker.clockNow(now) + scheduler.leaseDuration()
 		worker.extendLease(now, scheduler.leaseDuration())
 	}
@@ -247,6 +248,9 @@
 	if !worker.answered {
 		worker.answered = true
 		scheduler.changed = true
+		// The worker has seen the fencing token of this term, so no earlier leader can renew its leases any more.
+		worker.leaseUntil = time.Time{}
+		worker.extendLease(now, scheduler.leaseDuration())
 	}
 	worker.clock = answer.Clock
 	worker.clockAt = now
