scheduler: lasting tasks as work of their own kind

Cause: a lasting task that ended waited like any other work of its job's age. A job that came minutes ago counts as hopelessly late, so behind a backlog it asked for advice last or not at all, found its room taken by then, and had no way to get room on full workers. On a draining worker it ran until the worker was gone, and then waited for the leases.

Change: a lasting step is urgent from the moment its task ended and is never late. The place of a run that ended on a sound worker is kept for 1.5 s. After 1.2 s without room other runs are stopped for a task that ran before: by package evictor, the set on one worker that loses the least work, no gangs, no lasting tasks, and the room is kept from others. Lasting tasks leave a draining worker as soon as another has room, at the latest after 1.5 s, and are spread over racks.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -83,7 +83,7 @@
 	step := queued.step
 	policy := step.job.policy.Advice
 	advice := &step.advice
-	if policy == nil || step.unplaced == 0 || step.blockers > 0 {
+	if policy == nil || step.wantedTasks(now) == 0 || step.blockers > 0 {
 		return
 	}
 	if advice.openRequests > 0 {
@@ -117,9 +117,9 @@
 // adviceCandidates returns the workers to name in requests: first allowed workers whose tickets need renewal, then
 // workers with unknown advice, those with the most free capacity first.
 func (scheduler *Scheduler) adviceCandidates(now time.Time, step *step) []describer.WorkerID {
-	count := scheduler.adviceCandidateCount(step)
+	count := scheduler.adviceCandidateCount(step, step.wantedTasks(now))
 	workers := make([]describer.WorkerID, 0, count)
-	candidates := scheduler.rankedByRack(step)
+	candidates := heldFirst(now, step, scheduler.rankedByRack(step))
 	for _, worker := range candidates {
 		if len(workers) == count {
 			break
@@ -140,13 +140,13 @@
 }
 
 // adviceCandidateCount returns how many workers to request advice for, so that the allowed ones with free capacity
-// can probably take all waiting tasks of step.
-func (scheduler *Scheduler) adviceCandidateCount(step *step) int {
+// can probably take the given number of tasks of step.
+func (scheduler *Scheduler) adviceCandidateCount(step *step, tasks int) int {
 	allowedShare := step.job.queue.allowedShare
 	if allowedShare == 0 {
 		allowedShare = defaultAllowedShare
 	}
-	wanted := float64(step.unplaced)/scheduler.tasksPerWorker(step)/allowedShare*requestOversampling + 2
+	wanted := float64(tasks)/scheduler.tasksPerWorker(step)/allowedShare*requestOversampling + 2
 	if perWorker := step.job.policy.Advice.PerWorker; perWorker > 0 {
 		wanted += float64(extraWorkersBudget / perWorker)
 	}
--- /dev/null
+++ b/internal/cell/scheduler/lasting.go
@@ -0,0 +1,207 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/cell/evictor"
+)
+
+const (
+	// evictionDelay is how long a lasting task that ran before waits for free capacity before other runs are stopped
+	// for it.
+	evictionDelay = 1200 * time.Millisecond
+	// minEvictionValidity is how long the ticket for a worker must be valid when runs are stopped there. A stop and
+	// the record of the new run take less.
+	minEvictionValidity = 1200 * time.Millisecond
+	// placeHoldPeriod is how long the place of a lasting run that has ended is kept for the next run. It covers the
+	// record and one request for advice.
+	placeHoldPeriod = 1500 * time.Millisecond
+	// evacuationDelay is how long a lasting task stays on a draining worker while no place for it is known. After
+	// that it is stopped and started where it fits, since it would end with the worker.
+	evacuationDelay = 1500 * time.Millisecond
+	// rackWeight is the weight of the share of a step's lasting tasks on a rack in the score of its workers.
+	rackWeight = 0.5
+)
+
+// waitsSince returns when the first of the waiting tasks of a lasting step began to wait.
+func (step *step) waitsSince() time.Time {
+	if step.waitingFrom.IsZero() {
+		return step.occurrence.due
+	}
+	return step.waitingFrom
+}
+
+// noteWaiting notes that a task of step waits for a run again.
+func (step *step) noteWaiting(now time.Time) {
+	if step.unplaced == 0 || step.waitingFrom.IsZero() {
+		step.waitingFrom = now
+	}
+}
+
+// evict stops runs of other work for a lasting task that has waited too long: by the rules of the platform's users
+// it must run again soon, however full the workers are. One worker is cleared at a time for each step.
+func (scheduler *Scheduler) evict(now time.Time, step *step) {
+	if !step.Perpetual || step.Gang || now.Sub(step.waitsSince()) < evictionDelay || now.Before(step.evictedUntil) {
+		return
+	}
+	var task *task
+	for _, candidate := range step.tasks {
+		if candidate.state == taskWaiting && candidate.run > 0 {
+			task = candidate
+			break
+		}
+	}
+	if task == nil {
+		return
+	}
+	var best []*run
+	var cleared *worker
+	var bestLost float64
+	for _, worker := range scheduler.evictionCandidates(now, step) {
+		runs, victims := worker.evictable(now)
+		chosen, lost, possible := evictor.Choose(step.Occupied(), worker.free(), victims)
+		if !possible || len(chosen) == 0 || best != nil && lost >= bestLost {
+			continue
+		}
+		best, bestLost, cleared = nil, lost, worker
+		for _, index := range chosen {
+			best = append(best, runs[index])
+		}
+	}
+	if best == nil {
+		return
+	}
+	step.evictedUntil = now.Add(minEvictionValidity)
+	cleared.heldFor = step
+	for _, run := range best {
+		scheduler.stop(now, run, "its worker's capacity goes to the lasting task "+task.id().String())
+	}
+}
+
+// evictionCandidates returns the workers that may run a task of step, whether or not they have free capacity.
+func (scheduler *Scheduler) evictionCandidates(now time.Time, step *step) []*worker {
+	var candidates []*worker
+	for _, worker := range scheduler.ranked {
+		if !worker.canRun(step) || step.MaxPerWorker > 0 && worker.runCount(step) >= step.MaxPerWorker {
+			continue
+		}
+		if step.job.policy.Advice != nil && step.advice.tickets[worker.id].expires.Sub(now) < minEvictionValidity {
+			continue
+		}
+		candidates = append(candidates, worker)
+	}
+	return candidates
+}
+
+// holdPlace keeps the capacity of a lasting run that has ended on a sound worker for its next run, which has to wait for
+// its record and for advice.
+func (scheduler *Scheduler) holdPlace(now time.Time, run *run) {
+	worker, step := run.worker, run.task.step
+	if !worker.usable() || now.Before(worker.health.quarantinedUntil) {
+		return
+	}
+	worker.heldFor = step
+	step.evictedUntil = now.Add(placeHoldPeriod)
+}
+
+// heldFirst moves the worker on which capacity is kept for step to the front of workers.
+func heldFirst(now time.Time, step *step, workers []*worker) []*worker {
+	if !now.Before(step.evictedUntil) {
+		return workers
+	}
+	for index, worker := range workers {
+		if worker.heldFor == step {
+			return slices.Concat(workers[index:index+1], workers[:index], workers[index+1:])
+		}
+	}
+	return workers
+}
+
+// heldForOther reports whether capacity of the worker is kept for a lasting step other than step.
+func (worker *worker) heldForOther(now time.Time, step *step) bool {
+	return worker.heldFor != nil && worker.heldFor != step && now.Before(worker.heldFor.evictedUntil) && worker.heldFor.unplaced > 0
+}
+
+// evictable returns the runs on the worker that may be stopped for a lasting task, in two forms. The members of a
+// gang are left out, since a stop of one ends them all.
+func (worker *worker) evictable(now time.Time) ([]*run, []evictor.Run) {
+	var runs []*run
+	var victims []evictor.Run
+	for _, run := range worker.runs {
+		step := run.task.step
+		if run.phase != phaseRunning || step.Perpetual || step.Gang {
+			continue
+		}
+		runs = append(runs, run)
+		victims = append(victims, evictor.Run{
+			Needs: step.Occupied(),
+			Lost:  now.Sub(run.placedAt).Seconds() * float64(step.Needs.MilliCPU) / 1000,
+		})
+	}
+	return runs, victims
+}
+
+// evacuate moves lasting tasks off draining workers. A task is stopped when another worker can take it, or when the
+// worker may leave soon.
+func (scheduler *Scheduler) evacuate(now time.Time) {
+	for _, worker := range scheduler.workers {
+		if worker.drainingSince.IsZero() || !worker.answered || !worker.silentSince.IsZero() {
+			continue
+		}
+		for _, run := range worker.runs {
+			step := run.task.step
+			if run.phase != phaseRunning || !step.Perpetual || step.Gang || step.job.state.Final() {
+				continue
+			}
+			step.evacuated = now
+			scheduler.requestAdvice(now, queuedStep{
+				step:       step,
+				urgentFrom: worker.drainingSince,
+			})
+			place, _ := scheduler.chooseWorker(now, run.task, nil, "")
+			if place == nil && now.Sub(worker.drainingSince) < evacuationDelay {
+				continue
+			}
+			scheduler.stop(now, run, "its worker is draining")
+		}
+	}
+}
+
+// wantedTasks returns the number of tasks of step that need a place now or, on a draining worker, soon.
+func (step *step) wantedTasks(now time.Time) int {
+	if step.unplaced == 0 && step.evacuated.Equal(now) {
+		return 1
+	}
+	return step.unplaced
+}
+
+// rackShare returns the share of the other tasks of a lasting step that run on the rack of worker.
+func (scheduler *Scheduler) rackShare(step *step, worker *worker, assigned map[*worker]int) float64 {
+	if worker.description.Rack == "" || step.Count < 2 {
+		return 0
+	}
+	count := 0
+	for _, task := range step.tasks {
+		if task.active != nil && task.active.worker.description != nil && task.active.worker.description.Rack == worker.description.Rack {
+			count++
+		}
+	}
+	for other, tasks := range assigned {
+		if other.description.Rack == worker.description.Rack {
+			count += tasks
+		}
+	}
+	return float64(count) / float64(step.Count-1)
+}
+
+// noteDraining notes since when a worker has reported that it is draining.
+func (worker *worker) noteDraining(now time.Time, description *describer.Worker) {
+	switch {
+	case !description.Draining:
+		worker.drainingSince = time.Time{}
+	case worker.drainingSince.IsZero():
+		worker.drainingSince = now
+	}
+}
--- a/internal/cell/scheduler/outcomes.go
+++ b/internal/cell/scheduler/outcomes.go
@@ -55,6 +55,7 @@
 	}
 	task.active = nil
 	task.state = taskWaiting
+	step.noteWaiting(now)
 	step.unplaced++
 	if end.Outcome == describer.OutcomeFailed && !step.Perpetual {
 		scheduler.countFailure(now, run)
@@ -64,6 +65,8 @@
 	}
 	if step.Gang {
 		scheduler.stopGang(now, step, run.number, end.Outcome.String())
+	} else if step.Perpetual {
+		scheduler.holdPlace(now, run)
 	}
 	scheduler.enqueue(step)
 }
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -73,6 +73,11 @@
 		step:       step,
 		urgentFrom: scheduler.latestStart(step),
 	}
+	if step.Perpetual {
+		// A lasting task has no end to be late for: each moment without it is lost, also long after its job came.
+		queued.urgentFrom = step.waitsSince()
+		return queued
+	}
 	// Without these margins, work that can barely meet its objective would displace other work and then miss
 	// the objective at the first delay.
 	queued.urgentFrom = queued.urgentFrom.Add(-reportDelay - time.Duration(estimateMargin*float64(step.criticalPath)))
@@ -115,6 +120,8 @@
 	slices.SortFunc(queue, compareQueuedSteps)
 	scheduler.rankWorkers(now)
 	clear(scheduler.reserved)
+	scheduler.deferrable = false
+	scheduler.evacuate(now)
 	blockedSteps, reservations := 0, 0
 	// Gangs wait longer than single tasks, so the CPU that they need must not keep other steps from requesting advice.
 	var queuedByGangs, queuedByOthers float64
@@ -134,6 +141,7 @@
 		if !queued.step.advice.unplacedInLastPass || queued.lateness == 2 {
 			continue
 		}
+		scheduler.evict(now, queued.step)
 		if queued.step.advice.hasValidTicket(now) {
 			blockedSteps++
 		}
@@ -279,7 +287,7 @@
 	needs := step.Occupied()
 	var bestScore float64
 	consider := func(worker *worker, ticket ticket) {
-		if scheduler.deferrable && scheduler.reserved[worker.id] || rack != "" && worker.description.Rack != rack {
+		if scheduler.deferrable && scheduler.reserved[worker.id] || rack != "" && worker.description.Rack != rack || worker.heldForOther(now, step) {
 			return
 		}
 		free := worker.free()
@@ -294,6 +302,9 @@
 			return
 		}
 		score := scheduler.score(worker, task, free)
+		if step.Perpetual {
+			score += rackWeight * scheduler.rackShare(step, worker, assigned)
+		}
 		if best == nil || score < bestScore || score == bestScore && worker.id < best.id {
 			best, bestTicket, bestScore = worker, ticket, score
 		}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -51,6 +51,7 @@
 	}
 	task.active = nil
 	task.state = taskWaiting
+	task.step.noteWaiting(now)
 	task.step.unplaced++
 	scheduler.markDirty(task.step.job)
 	if task.step.Gang {
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -205,6 +205,12 @@
 	failedRun int
 	// criticalPath is the estimated time from the start of this step to the end of its occurrence.
 	criticalPath time.Duration
+	// waitingFrom is when the waiting tasks of a lasting step began to wait, zero before the first run.
+	waitingFrom time.Time
+	// evictedUntil is until when the runs that were stopped for this step are given time to end.
+	evictedUntil time.Time
+	// evacuated is the pass in which a task of the step was last found on a draining worker.
+	evacuated time.Time
 }
 
 // markStarted notes that a task of the job has started. The new state is stored with the next change of the record.
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -56,6 +56,11 @@
 	acknowledgedEnd int64
 	unacknowledged  []unacknowledgedEnd
 	health          health
+	// drainingSince is when the worker first reported that it is draining; zero while it is not.
+	drainingSince time.Time
+	// heldFor is the lasting step for which runs on the worker were stopped last. Until its evictedUntil the capacity
+	// is kept for it.
+	heldFor *step
 	// rankedFreeShare is the free share at the start of a pass, by which the workers are ranked.
 	rankedFreeShare float64
 }
@@ -94,6 +99,7 @@
 		worker.clock = description.Clock
 		worker.clockAt = now
 	}
+	worker.noteDraining(now, description)
 	worker.description = description
 	worker.unregistered = false
 	scheduler.changed = true
@@ -362,6 +368,10 @@
 		}
 		return
 	}
+	if !worker.drainingSince.IsZero() && len(worker.runs) > 0 {
+		// Lasting tasks may have to leave the worker, which takes a pass.
+		scheduler.changed = true
+	}
 	for _, run := range worker.runs {
 		if run.phase == phaseStopping && run.confirmedAt.IsZero() && now.Sub(run.placedAt) > stopRetryInterval {
 			run.placedAt = now
