sender, logger, elector: a leader that is short of processor time

A response that had arrived counted as lost when the process got to it after the deadline, so that workers were taken for silent and runs that had just started were stopped; each log flush was a write; and an instance of 0.192 of a core could become leader 150 ms after larger ones.

Change: Pool looks for a received response when the deadline has passed, and reads it. Log lines are flushed at most every 10 ms. Members tell their cores; an instance that is short of cores waits 0.7 s longer while it knows a larger member, and hands over to it after 3 s of leading, again only after a minute. A term that begins from an earlier write is confirmed by the last renewal of the lease, not by the moment it is noticed. Tests: TestPoolStarved, TestLargerMember.

--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,15 @@
 	sufficientCPUCores = 0.8
 	// cpuDelay is the CPU delay for each core by which a candidate falls short of sufficientCPUCores.
 	cpuDelay = 250 * time.Millisecond
+	// largerMemberFactor is how many times as many cores another member has to have to be preferred as leader by an
+	// instance that falls short of sufficientCPUCores.
+	largerMemberFactor = 1.5
+	// largerMemberDelay is the additional delay of a candidate while it knows of a larger member.
+	largerMemberDelay = 700 * time.Millisecond
+	// handOverDelay is how long a leader leads before it hands over to a larger member. The next time it leads for
+	// repeatedHandOverDelay, in case that no larger member can take over.
+	handOverDelay         = 3 * time.Second
+	repeatedHandOverDelay = time.Minute
 	// delayJitter bounds the random delay, which separates otherwise equal candidates.
 	delayJitter = 30 * time.Millisecond
 )
@@ -69,6 +79,8 @@
 	Incarnation string
 	Address     netip.AddrPort
 	DataCentre  string
+	// CPUCores is the number of CPU cores that the instance may use, such as 0.5. An earlier version does not tell it.
+	CPUCores float64 `json:",omitempty"`
 }
 
 // Term is one period of leadership of one instance.
@@ -99,9 +111,6 @@
 type Options struct {
 	Store describer.Store
 	Self  Member
-	// CPUCores is the number of CPU cores that the instance may use, such as 0.5. Instances with more are preferred as
-	// leader.
-	CPUCores float64
 	// RunLeader runs the leader until ctx is cancelled or the term cannot continue.
 	RunLeader func(ctx context.Context, term Term) error
 	// ReadThroughPeers, if set, reads a key of the store through other instances. It returns ErrNoEffect if one of them
@@ -131,6 +140,9 @@
 	lastConfirmation time.Time
 	// cancelTerm ends the current term; nil without one.
 	cancelTerm context.CancelFunc
+	// termStart is when the current or last term began; handedOver means that the instance has handed over before.
+	termStart  time.Time
+	handedOver bool
 	fence      describer.Fence
 	wake       chan struct{}
 }
@@ -276,6 +288,7 @@
 		elector.lastRenewal = sent
 		elector.lastConfirmation = sent
 		elector.mutex.Unlock()
+		elector.handOver()
 	case errors.Is(err, describer.ErrNotFound):
 		// The store no longer has the lease, so the instance's keys are gone too.
 		elector.reportEvent("lease ended", 0, err)
@@ -384,8 +397,10 @@
 			view.Leader, view.Fence = nil, 0
 		case item.Key == LeaderKey:
 			view.Leader, view.Fence = &member, describer.Fence(item.Revision)
+		case !strings.HasPrefix(item.Key, MemberPrefix):
+			// The key is of a later version.
 		case item.Deleted:
-			delete(view.Members, item.Key[len(MemberPrefix):])
+			delete(view.Members, strings.TrimPrefix(item.Key, MemberPrefix))
 		default:
 			view.Members[member.Instance] = member
 		}
@@ -462,7 +477,11 @@
 func (elector *Elector) claimLeadership(ctx context.Context, claim claim) {
 	switch {
 	case claim.ownFence > 0:
-		elector.lead(ctx, claim.ownFence, time.Now())
+		// The key was written in an earlier call, so only the last renewal of its lease confirms the term.
+		elector.mutex.Lock()
+		confirmed := elector.lastRenewal
+		elector.mutex.Unlock()
+		elector.lead(ctx, claim.ownFence, confirmed)
 	case claim.vacant:
 		elector.writeLeaderKey(ctx, claim.expected)
 	}
@@ -479,10 +498,43 @@
 	elector.mutex.Lock()
 	defer elector.mutex.Unlock()
 	latencyDelay := min(elector.minStoreLatency*latencyDelayFactor, maxLatencyDelay)
-	lowCPUDelay := time.Duration(max(sufficientCPUCores-elector.options.CPUCores, 0) * float64(cpuDelay))
+	lowCPUDelay := time.Duration(max(sufficientCPUCores-elector.options.Self.CPUCores, 0) * float64(cpuDelay))
+	if elector.largerMember() {
+		lowCPUDelay += largerMemberDelay
+	}
 	return latencyDelay + lowCPUDelay + rand.N(delayJitter)
 }
 
+// largerMember reports whether the instance falls short of the cores that a leader should have and another member has
+// clearly more.
+func (elector *Elector) largerMember() bool {
+	own := elector.options.Self.CPUCores
+	if own >= sufficientCPUCores {
+		return false
+	}
+	for _, member := range elector.view.Members {
+		if member.CPUCores > largerMemberFactor*own {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver ends the term of an instance that is short of CPU cores once a larger member can lead.
+func (elector *Elector) handOver() {
+	elector.mutex.Lock()
+	delay := handOverDelay
+	if elector.handedOver {
+		delay = repeatedHandOverDelay
+	}
+	due := elector.cancelTerm != nil && time.Since(elector.termStart) > delay && elector.largerMember()
+	elector.handedOver = elector.handedOver || due
+	elector.mutex.Unlock()
+	if due {
+		elector.stepDown("a larger instance can lead")
+	}
+}
+
 // writeLeaderKey writes the leader key over the expected revision and leads if that succeeds. If the answer is lost
 // or another instance was faster, the watch reports who leads.
 func (elector *Elector) writeLeaderKey(ctx context.Context, expected describer.Revision) {
@@ -523,6 +575,7 @@
 	elector.cancelTerm = cancel
 	elector.fence = fence
 	elector.lastConfirmation = termStart
+	elector.termStart = termStart
 	elector.view.Leader = &self
 	elector.view.Fence = fence
 	view := elector.view
--- a/internal/cell/elector/elector_test.go
+++ b/internal/cell/elector/elector_test.go
@@ -97,8 +97,8 @@
 					Store: store,
 					Self: Member{
 						Instance: "a",
+						CPUCores: sufficientCPUCores,
 					},
-					CPUCores: sufficientCPUCores,
 					RunLeader: func(ctx context.Context, begun Term) error {
 						term, termCtx = begun, ctx
 						<-ctx.Done()
@@ -142,3 +142,58 @@
 		})
 	}
 }
+
+// TestLargerMember guards against a term on an instance that is too small for the cell while a larger one could lead,
+// and against terms that end again and again because no larger one takes over.
+func TestLargerMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		ctx, cancel := context.WithCancel(t.Context())
+		terms := 0
+		elector := New(Options{
+			Store: store,
+			Self: Member{
+				Instance: "small",
+				CPUCores: 0.2,
+			},
+			RunLeader: func(ctx context.Context, _ Term) error {
+				terms++
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		})
+		alone := elector.candidateDelay()
+		elector.updateView([]describer.Item{{
+			Key:   MemberPrefix + "large",
+			Value: []byte(`{"Instance":"large","CPUCores":0.8}`),
+		}}, true)
+		if delay := elector.candidateDelay(); delay < alone+largerMemberDelay-delayJitter {
+			t.Errorf("delay of %v beside a larger member, %v alone", delay, alone)
+		}
+		elector.updateView(nil, true)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			// The test cancels it.
+			_ = elector.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		if terms != 1 {
+			t.Fatalf("%d terms without a larger member, want 1", terms)
+		}
+		elector.updateView([]describer.Item{{
+			Key:   MemberPrefix + "large",
+			Value: []byte(`{"Instance":"large","CPUCores":0.8}`),
+		}}, false)
+		time.Sleep(2 * time.Second)
+		if elector.handedOver != true {
+			t.Error("the term goes on beside a larger member")
+		}
+		time.Sleep(30 * time.Second)
+		if terms != 2 {
+			t.Errorf("%d terms, want 2: the larger member does not lead", terms)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/gateway/sender/pool.go
+++ b/internal/gateway/sender/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -20,6 +21,8 @@
 	defaultMaxConns = 64
 	// bufferBytes is the size of the buffers for one request and its response. Larger ones pass through in parts.
 	bufferBytes = 2048
+	// lateReadTime is how long a response that arrived in time may take to be read after the deadline.
+	lateReadTime = 200 * time.Millisecond
 )
 
 // PoolOptions configures a Pool. Zero values select the defaults.
@@ -103,8 +106,10 @@
 		return Response{}, errors.Wrap(ErrNotSent, err.Error())
 	}
 	stop := context.AfterFunc(ctx, func() {
-		// A deadline in the past ends the request at once. An error means that the connection is closed already.
-		_ = conn.SetDeadline(time.Unix(1, 0))
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// A deadline in the past ends the request at once. An error means that the connection is closed already.
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		}
 	})
 	response, reusable, err := pool.exchange(conn, request)
 	if !stop() || err != nil || !reusable || !pool.keep(host, conn) {
@@ -145,6 +150,9 @@
 		reader.Reset(nil)
 		pool.readers.Put(reader)
 	}()
+	if err := awaitResponse(conn, reader); err != nil {
+		return Response{}, false, err
+	}
 	if err := incoming.Header.Read(reader); err != nil {
 		return Response{}, false, err
 	}
@@ -163,6 +171,21 @@
 	return response, !incoming.ConnectionClose() && reader.Buffered() == 0, nil
 }
 
+// awaitResponse waits for the first byte of a response. A response that arrived in time counts although a busy process
+// gets to it after the deadline: without this, an instance that is short of processor time would take all its workers
+// for silent.
+func awaitResponse(conn net.Conn, reader *bufio.Reader) error {
+	_, err := reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !responseWaits(conn) {
+		return err
+	}
+	if err := conn.SetDeadline(time.Now().Add(lateReadTime)); err != nil {
+		return err
+	}
+	_, err = reader.Peek(1)
+	return err
+}
+
 // identityLength is the content length that fasthttp reports for a body that ends with the connection.
 const identityLength = -2
 
@@ -265,24 +288,41 @@
 	}
 }
 
+// responseWaits reports whether bytes of a response have arrived.
+func responseWaits(conn net.Conn) bool {
+	received, err := peek(conn)
+	return err == nil && received > 0
+}
+
 // stillOpen reports whether the peer has neither closed nor reset an idle connection. A request on a closed one
 // would end without an answer, and an order without an answer costs a run.
 func stillOpen(conn net.Conn) bool {
+	_, err := peek(conn)
+	// Nothing to read is the only good state: data would be a response that nobody waits for.
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, errNoSyscalls)
+}
+
+// errNoSyscalls means that a connection is not one of the operating system.
+var errNoSyscalls = errors.New("connection gives no access to its socket")
+
+// peek looks for a received byte without waiting and without consuming it. The error is EAGAIN if there is none.
+func peek(conn net.Conn) (received int, err error) {
 	source, isSyscallConn := conn.(syscall.Conn)
 	if !isSyscallConn {
-		return true
+		return 0, errNoSyscalls
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
 	var buffer [1]byte
+	var receiveErr error
 	// Control does not heed the deadline of the last request, which may have passed.
 	err = raw.Control(func(descriptor uintptr) {
-		_, _, receiveErr := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		// Nothing to read is the only good state: data would be a response that nobody waits for.
-		open = errors.Is(receiveErr, syscall.EAGAIN)
+		received, _, receiveErr = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	if err != nil {
+		return 0, err
+	}
+	return received, receiveErr
 }
--- a/internal/gateway/sender/pool_test.go
+++ b/internal/gateway/sender/pool_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -131,3 +132,62 @@
 		t.Errorf("request with a cancelled context: %v", err)
 	}
 }
+
+// starvedConn is a connection whose first read is scheduled only after its deadline.
+type starvedConn struct {
+	*net.TCPConn
+
+	reads int
+}
+
+func (starvedConn *starvedConn) Read(buffer []byte) (int, error) {
+	starvedConn.reads++
+	if starvedConn.reads == 1 {
+		time.Sleep(80 * time.Millisecond)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return starvedConn.TCPConn.Read(buffer)
+}
+
+// TestPoolStarved guards against a response that is lost because a busy process gets to it after the deadline. With
+// little processor time the leader of 1,100 workers took them for silent, and stopped the runs it had just started.
+func TestPoolStarved(t *testing.T) {
+	for _, test := range []struct {
+		path string
+		want error
+	}{
+		{path: "/at-once"},
+		{path: "/never", want: sender.ErrNoResponse},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/never" {
+				<-request.Context().Done()
+			}
+			_, _ = writer.Write([]byte("whole"))
+		}))
+		pool, closePool := sender.NewPool(sender.PoolOptions{
+			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &starvedConn{
+					TCPConn: conn.(*net.TCPConn),
+				}, nil
+			},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		response, err := pool.Send(ctx, sender.Request{
+			Method:           http.MethodPost,
+			Address:          netip.MustParseAddrPort(server.Listener.Addr().String()),
+			Path:             test.path,
+			MaxResponseBytes: 100,
+		})
+		if !errors.Is(err, test.want) || err == nil && string(response.Body) != "whole" {
+			t.Errorf("%s: %q: %v", test.path, response.Body, err)
+		}
+		cancel()
+		closePool()
+		server.Close()
+	}
+}
--- a/internal/node/logger/writer.go
+++ b/internal/node/logger/writer.go
@@ -5,11 +5,16 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queueCapacity is the number of lines that wait for a slow writer. Further lines are dropped.
 const queueCapacity = 4096
 
+// flushInterval is the minimum time between two flushes. A busy instance logs thousands of lines a second, and a
+// write for each would cost more than the lines.
+const flushInterval = 10 * time.Millisecond
+
 // AsyncWriter passes lines through a queue to another writer in the background. When the queue is full, further
 // lines are dropped and counted, so that logging never blocks and its memory is bounded.
 type AsyncWriter struct {
@@ -49,8 +54,9 @@
 	return asyncWriter.dropped.Load()
 }
 
-// writeLines writes the queued lines to writer and flushes it whenever the queue is empty, so that one flush
-// covers all lines that were waiting. It returns after stop is closed and the queue is empty.
+// writeLines writes the queued lines to writer. When the queue is empty it flushes the writer, at most once in
+// flushInterval, so that one flush covers all lines of that time. It returns after stop is closed and the queue is
+// empty.
 func (asyncWriter *AsyncWriter) writeLines(writer *bufio.Writer, stop <-chan struct{}) {
 	defer func() {
 		// There is no other place to report a failed write of a log line.
@@ -63,6 +69,10 @@
 		default:
 			_ = writer.Flush()
 			select {
+			case <-time.After(flushInterval):
+			case <-stop:
+			}
+			select {
 			case line := <-asyncWriter.lines:
 				_, _ = writer.Write(line)
 			case <-stop:
