leader, scheduler, connector, platform: one bad item no longer ends the process

A record that did not fit its job (index out of range), a submission of 1,000,000,000 tasks or occurrences, or any panic in the handling of one answer ended the process of the leader, and then of each of its successors.

Change: the leader contains a panic to the item: the mutex is released, PanicContained (928) and the counter Panics.Contained say so. A record that does not fit is refused, and its job is set aside for the term: it keeps its record and is not run again from its start. One step that cannot be placed no longer keeps the others from it. gRPC calls answer Internal. A record whose encoding fails is written again. At most 512 starts and 256 stops wait for answers.

--- a/internal/cell/connector/connector.go
+++ b/internal/cell/connector/connector.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -66,6 +68,7 @@
 		return errors.Wrap(err, "listen for calls of other instances")
 	}
 	grpcServer := grpc.NewServer(
+		grpc.UnaryInterceptor(containPanic),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime:             keepaliveTime / 2,
 			PermitWithoutStream: true,
@@ -84,6 +87,18 @@
 	return ctx.Err()
 }
 
+// containPanic turns a panic in the handling of one call into an error, so that the process goes on. The caller takes
+// the outcome for uncertain.
+func containPanic(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			slog.ErrorContext(ctx, "panic in a call of another instance", slog.String("Method", info.FullMethod), slog.Any("Cause", cause), slog.String("Stack", string(debug.Stack())))
+			reply, err = nil, status.Errorf(codes.Internal, "panic in %s: %v", info.FullMethod, cause)
+		}
+	}()
+	return handle(ctx, request)
+}
+
 func unavailableError(err error) error {
 	return status.Error(codes.Unavailable, err.Error())
 }
--- a/internal/cell/leader/fakes_test.go
+++ b/internal/cell/leader/fakes_test.go
@@ -37,6 +37,7 @@
 func (discardObserver) EntryUnreadable(string, string, error)              {}
 func (discardObserver) RunStarted(time.Duration)                           {}
 func (discardObserver) WriteFailed(int, error)                             {}
+func (discardObserver) Contained(string, any)                              {}
 
 // fakeStore is an in-memory store without faults.
 type fakeStore struct {
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -34,6 +34,11 @@
 	// registryMinInterval is the minimum time between two watch calls on the worker registry, so that entries are
 	// handled in batches.
 	registryMinInterval = 100 * time.Millisecond
+	// maxOpenStarts and maxOpenStops limit the orders that wait for an answer, so that the answers do not wait for
+	// processor time longer than the orders' timeout. A start that waits too long here is refused as late by its
+	// worker. Stops have a limit of their own, since the members of a gang must not wait for each other.
+	maxOpenStarts = 512
+	maxOpenStops  = 256
 	// listRetryDelay is the delay before a failed list call to the store is repeated.
 	listRetryDelay = 100 * time.Millisecond
 )
@@ -62,6 +67,8 @@
 	EntryUnreadable(kind, key string, err error)
 	RunStarted(queueTime time.Duration)
 	WriteFailed(records int, err error)
+	// Contained reports a panic that ended only the handling of one item.
+	Contained(item string, cause any)
 }
 
 // Leader leads the cell for one term.
@@ -76,6 +83,9 @@
 	records       *persister.Persister
 	polling       map[describer.WorkerID]bool
 	passRequested chan struct{}
+	// openStarts and openStops have one element for each order that waits for an answer.
+	openStarts chan struct{}
+	openStops  chan struct{}
 }
 
 // Errors that end a term.
@@ -90,6 +100,8 @@
 		term:          term,
 		polling:       map[describer.WorkerID]bool{},
 		passRequested: make(chan struct{}, 1),
+		openStarts:    make(chan struct{}, maxOpenStarts),
+		openStops:     make(chan struct{}, maxOpenStops),
 	}
 	leader.advisor = advisor.New(leader.requestAdvice)
 	return leader
@@ -193,17 +205,57 @@
 		}
 		record := stored[job.ID]
 		delete(stored, job.ID)
-		if err := leader.scheduler.Restore(now, job.ID, job, record.Value); err != nil {
-			leader.options.Observer.EntryUnreadable("record", item.Key, err)
-		}
+		leader.restoreJob(now, job.ID, job, item.Key, record.Value)
 	}
 	for id, item := range stored {
-		if err := leader.scheduler.Restore(now, id, nil, item.Value); err != nil {
-			leader.options.Observer.EntryUnreadable("record", item.Key, err)
+		leader.restoreJob(now, id, nil, item.Key, item.Value)
+	}
+}
+
+// restoreJob passes one job and its stored record to the scheduler. A job that cannot be restored is left out, so that
+// it does not end each term in turn. Its record stays as it is.
+func (leader *Leader) restoreJob(now time.Time, id describer.JobID, job *describer.Job, key string, record []byte) {
+	restored := false
+	leader.contain(key, func() {
+		err := leader.scheduler.Restore(now, id, job, record)
+		if err != nil {
+			leader.options.Observer.EntryUnreadable("record", key, err)
 		}
+		restored = err == nil
+	})
+	if !restored {
+		leader.scheduler.SetAside(id)
 	}
 }
 
+// add passes a submitted job to the scheduler.
+func (leader *Leader) add(now time.Time, job *describer.Job) {
+	leader.contain("job "+string(job.ID), func() {
+		leader.scheduler.Add(now, job)
+	})
+}
+
+// contain handles one item and contains its panic, so that one bad item does not end the process of every leader in
+// turn. The caller holds the mutex.
+func (leader *Leader) contain(item string, handle func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			leader.options.Observer.Contained(item, cause)
+		}
+	}()
+	handle()
+}
+
+// update handles one item under the mutex, contains its panic and requests a pass.
+func (leader *Leader) update(item string, handle func(now time.Time)) {
+	leader.mutex.Lock()
+	defer leader.mutex.Unlock()
+	leader.contain(item, func() {
+		handle(time.Now())
+	})
+	leader.requestPass()
+}
+
 // parseJob decodes the job of an inbox item. It returns nil if the item is not a job or cannot be decoded.
 func (leader *Leader) parseJob(item describer.Item) *describer.Job {
 	if item.Deleted || !strings.HasPrefix(item.Key, persister.JobPrefix) {
@@ -228,12 +280,14 @@
 		return false
 	}
 	if cancelled != "" {
-		leader.scheduler.Cancel(now, cancelled)
+		leader.contain("cancellation of "+string(cancelled), func() {
+			leader.scheduler.Cancel(now, cancelled)
+		})
 	} else if description := leader.parseJob(describer.Item{
 		Key:   persister.JobPrefix,
 		Value: job,
 	}); description != nil {
-		leader.scheduler.Add(now, description)
+		leader.add(now, description)
 	}
 	leader.requestPass()
 	return true
@@ -243,7 +297,9 @@
 func (leader *Leader) handleCancellations(now time.Time, items []describer.Item) {
 	for _, item := range items {
 		if !item.Deleted && strings.HasPrefix(item.Key, persister.CancelPrefix) {
-			leader.scheduler.Cancel(now, describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix)))
+			leader.contain(item.Key, func() {
+				leader.scheduler.Cancel(now, describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix)))
+			})
 		}
 	}
 }
@@ -275,7 +331,7 @@
 	defer leader.mutex.Unlock()
 	for _, item := range items {
 		if job := leader.parseJob(item); job != nil {
-			leader.scheduler.Add(now, job)
+			leader.add(now, job)
 		}
 	}
 	leader.handleCancellations(now, items)
@@ -324,7 +380,9 @@
 		leader.options.Observer.EntryUnreadable("worker", item.Key, err)
 		return
 	}
-	leader.scheduler.SetWorker(now, worker)
+	leader.contain(item.Key, func() {
+		leader.scheduler.SetWorker(now, worker)
+	})
 	if !leader.polling[id] {
 		leader.polling[id] = true
 		go leader.pollWorker(ctx, id)
@@ -386,13 +444,17 @@
 			return ctx.Err()
 		case <-ticker.C:
 			leader.mutex.Lock()
-			leader.scheduler.Tick(time.Now())
+			leader.contain("tick", func() {
+				leader.scheduler.Tick(time.Now())
+			})
 			leader.mutex.Unlock()
 		case <-leader.passRequested:
 		}
 		leader.mutex.Lock()
 		passStart := time.Now()
-		leader.scheduler.Pass(passStart)
+		leader.contain("pass", func() {
+			leader.scheduler.Pass(passStart)
+		})
 		took := time.Since(passStart)
 		effects := leader.scheduler.TakeEffects()
 		leader.mutex.Unlock()
@@ -427,8 +489,26 @@
 	}
 }
 
+// acquire takes one of the places in open. It returns false if ctx ends first.
+func acquire(ctx context.Context, open chan struct{}) bool {
+	select {
+	case open <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func release(open chan struct{}) {
+	<-open
+}
+
 // startRun sends a start order and reports the answer to the scheduler.
 func (leader *Leader) startRun(ctx context.Context, start scheduler.Start) {
+	if !acquire(ctx, leader.openStarts) {
+		return
+	}
+	defer release(leader.openStarts)
 	startTime := time.Now()
 	_, err := leader.options.Workers.Start(ctx, leader.target(start.Worker), start.Order)
 	leader.options.Observer.OrderAnswered("start", start.Order.Task, start.Order.Run, start.Worker.ID, "", time.Since(startTime), err)
@@ -437,14 +517,17 @@
 		return
 	}
 	leader.options.Observer.RunStarted(start.Waited)
-	leader.mutex.Lock()
-	defer leader.mutex.Unlock()
-	leader.scheduler.StartAnswered(time.Now(), start, err)
-	leader.requestPass()
+	leader.update("start of "+start.Order.Task.String(), func(now time.Time) {
+		leader.scheduler.StartAnswered(now, start, err)
+	})
 }
 
 // stopRun sends a stop order and reports the answer to the scheduler.
 func (leader *Leader) stopRun(ctx context.Context, stop scheduler.Stop) {
+	if !acquire(ctx, leader.openStops) {
+		return
+	}
+	defer release(leader.openStops)
 	startTime := time.Now()
 	err := leader.options.Workers.Stop(ctx, leader.target(stop.Worker), stop.Order)
 	leader.options.Observer.OrderAnswered("stop", stop.Order.Task, stop.Order.Run, stop.Worker.ID, stop.Reason, time.Since(startTime), err)
@@ -452,19 +535,17 @@
 		leader.cancelTerm(errFenced)
 		return
 	}
-	leader.mutex.Lock()
-	defer leader.mutex.Unlock()
-	leader.scheduler.StopAnswered(time.Now(), stop, err)
-	leader.requestPass()
+	leader.update("stop of "+stop.Order.Task.String(), func(now time.Time) {
+		leader.scheduler.StopAnswered(now, stop, err)
+	})
 }
 
 // requestAdvice requests advice through an instance and passes the answer to the scheduler.
 func (leader *Leader) requestAdvice(ctx context.Context, instance string, request scheduler.AdviceRequest) error {
 	answer, err := leader.options.RequestAdvice(ctx, instance, request)
-	leader.mutex.Lock()
-	defer leader.mutex.Unlock()
-	leader.scheduler.AdviceAnswered(time.Now(), request.Step, request.Workers, answer, err)
-	leader.requestPass()
+	leader.update("advice for "+request.Step.String(), func(now time.Time) {
+		leader.scheduler.AdviceAnswered(now, request.Step, request.Workers, answer, err)
+	})
 	return err
 }
 
@@ -486,8 +567,7 @@
 }
 
 func (recordSource *recordSource) RecordStored(id describer.JobID, generation int64) {
-	recordSource.leader.mutex.Lock()
-	defer recordSource.leader.mutex.Unlock()
-	recordSource.leader.scheduler.RecordStored(time.Now(), id, generation)
-	recordSource.leader.requestPass()
+	recordSource.leader.update("record of "+string(id), func(now time.Time) {
+		recordSource.leader.scheduler.RecordStored(now, id, generation)
+	})
 }
--- a/internal/cell/leader/poll.go
+++ b/internal/cell/leader/poll.go
@@ -53,14 +53,13 @@
 		leader.cancelTerm(errFenced)
 		return err
 	}
-	leader.mutex.Lock()
-	if err != nil {
-		leader.scheduler.PollFailed(time.Now(), worker.ID, err)
-	} else {
-		leader.scheduler.PollAnswered(time.Now(), sent, worker.ID, answer)
-	}
-	leader.mutex.Unlock()
-	leader.requestPass()
+	leader.update("lists of "+string(worker.ID), func(now time.Time) {
+		if err != nil {
+			leader.scheduler.PollFailed(now, worker.ID, err)
+		} else {
+			leader.scheduler.PollAnswered(now, sent, worker.ID, answer)
+		}
+	})
 	return err
 }
 
--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -60,6 +62,8 @@
 		return logger.EventCellWorkerRestarted
 	case scheduler.EventWorkerQuarantined:
 		return logger.EventCellWorkerAvoided
+	case scheduler.EventStepSetAside:
+		return logger.EventPanicContained
 	default:
 		return logger.EventStrayRunStopped
 	}
@@ -147,6 +151,12 @@
 	observer.log(logger.EventRecordsNotWritten, slog.Int("Records", records), logger.Error(err))
 }
 
+// Contained logs and counts a panic that was contained to one item, with the stack of its goroutine.
+func (observer *Observer) Contained(item string, cause any) {
+	observer.count("Panics.Contained", nil)
+	observer.log(logger.EventPanicContained, slog.String("Item", item), slog.String("Cause", fmt.Sprint(cause)), slog.String("Stack", string(debug.Stack())))
+}
+
 // CallAnswered logs, counts and measures a caller's call.
 func (observer *Observer) CallAnswered(result admitter.CallResult) {
 	observer.count("Calls", map[string]string{
--- a/internal/cell/persister/persister.go
+++ b/internal/cell/persister/persister.go
@@ -190,6 +190,7 @@
 		record, generation, final, err := persister.source.Encode(id)
 		if err != nil {
 			persister.reportFailure(1, err)
+			persister.retryPending[id] = true
 			continue
 		}
 		delete(persister.retryPending, id)
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -115,7 +116,9 @@
 	scheduler.changed = false
 	queue := make([]queuedStep, 0, len(scheduler.waiting))
 	for step := range scheduler.waiting {
-		queue = append(queue, scheduler.newQueuedStep(now, step))
+		scheduler.containStep(step, func() {
+			queue = append(queue, scheduler.newQueuedStep(now, step))
+		})
 	}
 	slices.SortFunc(queue, compareQueuedSteps)
 	scheduler.rankWorkers(now)
@@ -125,7 +128,7 @@
 	blockedSteps, reservations := 0, 0
 	// Gangs wait longer than single tasks, so the CPU that they need must not keep other steps from requesting advice.
 	var queuedByGangs, queuedByOthers float64
-	for _, queued := range queue {
+	place := func(queued queuedStep) {
 		queuedShare := &queuedByOthers
 		if queued.step.Gang {
 			queuedShare = &queuedByGangs
@@ -139,7 +142,7 @@
 		scheduler.deferrable = queued.urgentFrom.Sub(now) > deferrableSlack
 		scheduler.placeStep(now, queued.step)
 		if !queued.step.advice.unplacedInLastPass || queued.lateness == 2 {
-			continue
+			return
 		}
 		scheduler.evict(now, queued.step)
 		if queued.step.advice.hasValidTicket(now) {
@@ -150,6 +153,29 @@
 			scheduler.reserve(now, queued.step)
 		}
 	}
+	for _, queued := range queue {
+		scheduler.containStep(queued.step, func() {
+			place(queued)
+		})
+	}
+}
+
+// containStep handles one waiting step and contains a panic: the step is no longer placed in this term, and the others
+// are.
+func (scheduler *Scheduler) containStep(step *step, handle func()) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		delete(scheduler.waiting, step)
+		scheduler.emit(Event{
+			Kind:   EventStepSetAside,
+			Job:    step.job.ID,
+			Detail: fmt.Sprintf("step %d: %v", step.index, cause),
+		})
+	}()
+	handle()
 }
 
 // cpuShare returns the share of the cell's CPU capacity that the waiting tasks of step need.
--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -165,6 +165,9 @@
 	if scheduler.jobs[id] != nil {
 		return nil
 	}
+	if err := record.check(description); err != nil {
+		return errors.Wrapf(err, "record of %s", id)
+	}
 	job := scheduler.newJob(description)
 	job.state = record.State
 	job.nextOccurrence = record.Next
@@ -177,6 +180,30 @@
 	return nil
 }
 
+// SetAside drops what was restored of a job whose stored state cannot be used. Its record stays as it is.
+func (scheduler *Scheduler) SetAside(id describer.JobID) {
+	scheduler.setAside[id] = true
+	job := scheduler.jobs[id]
+	if job == nil {
+		return
+	}
+	delete(scheduler.jobs, id)
+	delete(scheduler.dirty, id)
+	delete(scheduler.scheduled, job)
+	for step := range scheduler.waiting {
+		if step.job == job {
+			delete(scheduler.waiting, step)
+		}
+	}
+	for _, worker := range scheduler.workers {
+		for _, run := range worker.runs {
+			if run.task.step.job == job {
+				scheduler.deallocate(run)
+			}
+		}
+	}
+}
+
 func (scheduler *Scheduler) restoreEnded(id describer.JobID, record Record) {
 	job := &job{
 		Job: &describer.Job{
@@ -208,6 +235,29 @@
 	}
 }
 
+// check returns an error if the record does not fit the description of its job.
+func (record *Record) check(description *describer.Job) error {
+	for _, occurrence := range record.Occurrences {
+		if len(occurrence.Steps) != len(description.Steps) {
+			return errors.Errorf("record has %d steps, the job %d", len(occurrence.Steps), len(description.Steps))
+		}
+		for index, step := range occurrence.Steps {
+			count := description.Steps[index].Count
+			for _, done := range step.Done {
+				if done < 0 || done >= count {
+					return errors.Errorf("record names task %d of %d in step %d", done, count, index)
+				}
+			}
+			for _, task := range step.Tasks {
+				if task.Index < 0 || task.Index >= count {
+					return errors.Errorf("record names task %d of %d in step %d", task.Index, count, index)
+				}
+			}
+		}
+	}
+	return nil
+}
+
 func (scheduler *Scheduler) restoreTask(now time.Time, task *task, entry TaskRecord) {
 	task.run = entry.Run
 	task.failures = entry.Failures
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -67,7 +67,10 @@
 	// unansweredCalls holds the times of the most recent calls to workers that got no answer.
 	unansweredCalls []time.Time
 	dirty           map[describer.JobID]struct{}
-	effects         Effects
+	// setAside holds the jobs whose state could not be restored. They are not run in this term, since they may have
+	// run already.
+	setAside map[describer.JobID]bool
+	effects  Effects
 	// changed means that the next pass may be able to place something.
 	changed bool
 	// stats counts decisions.
@@ -151,6 +154,8 @@
 	EventWorkerRestarted
 	EventWorkerQuarantined
 	EventStrayStopped
+	// EventStepSetAside means that a fault of the program keeps a step from being placed.
+	EventStepSetAside
 )
 
 // job is one job and its progress.
@@ -304,6 +309,7 @@
 		scheduled: map[*job]struct{}{},
 		queues:    map[string]*queueStats{},
 		dirty:     map[describer.JobID]struct{}{},
+		setAside:  map[describer.JobID]bool{},
 	}
 }
 
@@ -342,7 +348,7 @@
 
 // Add adds a submitted job. It does nothing if the job is already known.
 func (scheduler *Scheduler) Add(now time.Time, description *describer.Job) {
-	if scheduler.jobs[description.ID] != nil {
+	if scheduler.jobs[description.ID] != nil || scheduler.setAside[description.ID] {
 		return
 	}
 	job := scheduler.newJob(description)
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -648,4 +648,11 @@
 		Text:    "run released",
 		Meaning: "The run ended without an outcome of its own, for the reason in `Detail`; its task waits again unless its job has ended.",
 	},
+	{
+		Event:   EventPanicContained,
+		Level:   slog.LevelError,
+		Name:    "PanicContained",
+		Text:    "panic contained",
+		Meaning: "A fault of the program in the handling of `Item`; only that item is affected. Report `Cause` and `Stack`.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -111,4 +111,5 @@
 	EventLeaseChanged        Event = 925
 	EventJobStateTold        Event = 926
 	EventRunReleased         Event = 927
+	EventPanicContained      Event = 928
 )
