leader: the state of the cell is listed in parallel, and a page that failed is repeated alone

Cause: a takeover read the records of the last three minutes page by page, 64 ms each across regions, and began again at the first page when one failed. Three lists at a time of 1 MB a page take 1.6 s on a link of 20 Mbit/s, longer than the limit of 1.2 s for a call, so that a small instance could never load.

Ended jobs are still read at a takeover.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -39,8 +39,6 @@
 	// worker. Stops have a limit of their own, since the members of a gang must not wait for each other.
 	maxOpenStarts = 512
 	maxOpenStops  = 256
-	// listRetryDelay is the delay before a failed list call to the store is repeated.
-	listRetryDelay = 100 * time.Millisecond
 )
 
 // Options configures a leader.
@@ -144,12 +142,12 @@
 	group, listCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		var err error
-		recordItems, _, err = leader.list(listCtx, persister.RecordPrefix)
+		recordItems, _, err = leader.listByID(listCtx, persister.RecordPrefix)
 		return err
 	})
 	group.Go(func() error {
 		var err error
-		inboxItems, inboxRevision, err = leader.list(listCtx, persister.InboxPrefix)
+		inboxItems, inboxRevision, err = leader.listInbox(listCtx)
 		return err
 	})
 	group.Go(func() error {
@@ -178,18 +176,6 @@
 	return records, inboxRevision, registryRevision, nil
 }
 
-// list reads all items under a prefix, and retries until the call succeeds or ctx is cancelled.
-func (leader *Leader) list(ctx context.Context, prefix string) ([]describer.Item, describer.Revision, error) {
-	for {
-		items, revision, err := describer.ListAll(ctx, leader.options.Store, prefix)
-		if err == nil || ctx.Err() != nil {
-			return items, revision, err
-		}
-		leader.options.Observer.EntryUnreadable("list", prefix, err)
-		watcher.Sleep(ctx, listRetryDelay)
-	}
-}
-
 // restore passes the jobs and their stored records to the scheduler.
 func (leader *Leader) restore(now time.Time, records *persister.Persister, recordItems, inboxItems []describer.Item) {
 	stored := make(map[describer.JobID]describer.Item, len(recordItems))
