--- a/internal/cell/scheduler/lasting.go
+++ b/internal/cell/scheduler/lasting.go
@@ -12,6 +12,8 @@
 	// evictionDelay is how long a lasting task that ran before waits for free capacity before other runs are stopped
 	// for it.
 	evictionDelay = 1200 * time.Millisecond
+	// evictionRetryInterval is the time until workers are examined again for a step for which none could be cleared.
+	evictionRetryInterval = 200 * time.Millisecond
 	// minEvictionValidity is how long the ticket for a worker must be valid when runs are stopped there. A stop and
 	// the record of the new run take less.
 	minEvictionValidity = 1200 * time.Millisecond
@@ -71,6 +73,7 @@
 		}
 	}
 	if best == nil {
+		step.evictedUntil = now.Add(evictionRetryInterval)
 		return
 	}
 	step.evictedUntil = now.Add(minEvictionValidity)
