scheduler: a run whose start had no answer is looked for before it is stopped

Cause: a start without an answer was stopped at once, also when the worker's list had shown that the run went on: work that had run was run again.

Change: such a run counts as started once a list shows it; the worker is polled at once, and the run is stopped when a list that was requested later does not have it, or after 0.6 s without one.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -48,6 +48,9 @@
 	// memoryLimitShare is the Go memory limit as a fraction of the instance's memory. The rest is for
 	// connection buffers and stacks.
 	memoryLimitShare = 0.6
+	// gcPercent lets the heap grow to three times its live size before it is collected. Processor time is scarcer than
+	// memory at a leader; near the memory limit the collector runs as often as it has to.
+	gcPercent = 200
 	// settingsPollInterval is how often the settings file is checked, because it may change without a signal.
 	settingsPollInterval = time.Second
 )
@@ -90,6 +93,7 @@
 
 // New creates an instance and returns a function that releases its resources.
 func New(options Options) (*Instance, func(), error) {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(options.Settings.MemoryBytes)))
 	instanceMeter, closeMeter := meter.New(metricsInterval)
 	instance := &Instance{
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -160,7 +160,11 @@
 	case errors.Is(err, describer.ErrUncertain):
 		scheduler.noteUnanswered(now)
 		run.worker.health.suspect(now)
-		scheduler.stop(now, run, "start order got no answer")
+		if run.phase == phaseStarting {
+			// The worker may have started the run although its answer was lost. Its list tells.
+			run.unansweredAt = now
+			scheduler.effects.Polls = append(scheduler.effects.Polls, run.worker.id)
+		}
 	case errors.Is(err, describer.ErrIncarnationChanged):
 		// Another incarnation of the worker answered.
 		run.worker.health.suspect(now)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -273,7 +273,10 @@
 	placedAt time.Time
 	// confirmedAt is when the worker confirmed the start or the stop. Only a list that was requested later is sure to
 	// reflect it.
-	confirmedAt  time.Time
+	confirmedAt time.Time
+	// unansweredAt is when the start order turned out to have no answer. A list that was requested later shows whether
+	// the run has begun.
+	unansweredAt time.Time
 	percent      int
 	lastProgress time.Time
 	ticket       ticket
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -11,6 +11,9 @@
 	// silentRenewalPeriod is how long the leases of a silent worker are still renewed. A worker whose answers are
 	// lost keeps its runs that long. After that its leases lapse, so that the runs can start elsewhere.
 	silentRenewalPeriod = time.Second
+	// startCheckTimeout is how long a start order without an answer waits for the worker's list before the run is
+	// stopped.
+	startCheckTimeout = 600 * time.Millisecond
 	// stopRetryInterval is the interval between stop orders for the same run.
 	stopRetryInterval = 400 * time.Millisecond
 	// pollWait is how long a worker may wait for a run to end before it answers a poll.
@@ -288,6 +291,10 @@
 			continue
 		}
 		switch run.phase {
+		case phaseStarting:
+			if !run.unansweredAt.IsZero() && !sent.Before(run.unansweredAt) {
+				scheduler.stop(now, run, "start order got no answer")
+			}
 		case phaseRecovered:
 			if run.confirmedAt.IsZero() || run.confirmedAt.Before(sent) {
 				scheduler.release(now, run, "run was not started, or ended with the worker's earlier incarnation")
@@ -373,6 +380,9 @@
 		scheduler.changed = true
 	}
 	for _, run := range worker.runs {
+		if run.phase == phaseStarting && !run.unansweredAt.IsZero() && now.Sub(run.unansweredAt) > startCheckTimeout {
+			scheduler.stop(now, run, "start order got no answer")
+		}
 		if run.phase == phaseStopping && run.confirmedAt.IsZero() && now.Sub(run.placedAt) > stopRetryInterval {
 			run.placedAt = now
 			scheduler.orderStop(run, "stop order got no answer")
