--- a/internal/gateway/sender/pool.go
+++ b/internal/gateway/sender/pool.go
@@ -21,8 +21,6 @@
 	defaultMaxConns = 64
 	// bufferBytes is the size of the buffers for one request and its response. Larger ones pass through in parts.
 	bufferBytes = 2048
-	// trustedIdleTime is how long an idle connection is taken for open without a look at it.
-	trustedIdleTime = 50 * time.Millisecond
 	// lateReadTime is how long a response that arrived in time may take to be read after the deadline.
 	lateReadTime = 200 * time.Millisecond
 )
@@ -240,8 +238,7 @@
 		if conn == nil {
 			break
 		}
-		idle := time.Since(conn.usedAt)
-		if idle < trustedIdleTime || idle < idleConnTimeout && stillOpen(conn.Conn) {
+		if time.Since(conn.usedAt) < idleConnTimeout && stillOpen(conn.Conn) {
 			return conn.Conn, nil
 		}
 		_ = conn.Close()
