courier: the leader's orders and polls go in batches through eight instances

Cause: one leader calls 1,100 workers itself, 3,500 calls a second at the crest; beside other work on the machine it falls behind and does not catch up.

Change: package courier carries orders and answers in batches over one gRPC stream to each of eight instances, the largest of each data centre, in cells of 500 workers or more. Nothing is decided on the way: fencing token and deadline are the leader's, so that an order that was delayed is refused by its worker. A stream that ends, a courier that leaves three orders unanswered, or a worker that a courier cannot reach is called directly.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -18,6 +18,7 @@
 
 	"pomelomoor/internal/cell/admitter"
 	"pomelomoor/internal/cell/connector"
+	"pomelomoor/internal/cell/courier"
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/elector"
 	"pomelomoor/internal/cell/leader"
@@ -89,6 +90,8 @@
 
 	mutex  sync.Mutex
 	leader *leader.Leader
+	// courier carries the orders of leader; nil without one.
+	courier *courier.Courier
 }
 
 // New creates an instance and returns a function that releases its resources.
@@ -206,7 +209,7 @@
 	})
 	tree.Add("Config", instance.watchConfig)
 	tree.Add("Peers", func(ctx context.Context) error {
-		return connector.Serve(ctx, instance.settings.Peer, instance, instance.advice, instance.relayer)
+		return connector.Serve(ctx, instance.settings.Peer, instance, instance.advice, instance.relayer, instance.workers)
 	})
 	tree.Add("Settings", instance.watchSettings)
 }
@@ -335,9 +338,15 @@
 	instance.mutex.Lock()
 	bounds := instance.settings.Bounds
 	instance.mutex.Unlock()
+	carried, closeCourier := courier.New(ctx, courier.Options{
+		Direct: instance.workers,
+		Open:   instance.connector.Carry,
+	})
+	defer closeCourier()
 	termLeader := leader.New(leader.Options{
-		Store:   instance.store,
-		Workers: instance.workers,
+		Store:     instance.store,
+		Workers:   carried,
+		OnWorkers: carried.SetWorkers,
 		Scheduler: scheduler.Options{
 			MaxLease:         bounds.MaxLease,
 			StatusRetention:  bounds.StatusRetention,
@@ -352,15 +361,34 @@
 	}, term)
 	instance.mutex.Lock()
 	instance.leader = termLeader
+	instance.courier = carried
 	instance.mutex.Unlock()
-	termLeader.SetInstances(ctx, memberNames(instance.elector.View()))
+	view := instance.elector.View()
+	termLeader.SetInstances(ctx, memberNames(view))
+	carried.SetInstances(instance.couriers(view))
 	err := termLeader.Run(ctx)
 	instance.mutex.Lock()
 	instance.leader = nil
+	instance.courier = nil
 	instance.mutex.Unlock()
 	return err
 }
 
+// couriers returns the other instances of the cell.
+func (instance *Instance) couriers(view elector.View) []courier.Instance {
+	var couriers []courier.Instance
+	for name, member := range view.Members {
+		if name != instance.settings.Instance {
+			couriers = append(couriers, courier.Instance{
+				Address:    member.Address,
+				DataCentre: member.DataCentre,
+				CPUCores:   member.CPUCores,
+			})
+		}
+	}
+	return couriers
+}
+
 func memberNames(view elector.View) []string {
 	names := make([]string, 0, len(view.Members))
 	for name := range view.Members {
@@ -383,6 +411,12 @@
 	if leader := instance.currentLeader(); leader != nil {
 		leader.SetInstances(context.Background(), memberNames(view))
 	}
+	instance.mutex.Lock()
+	carried := instance.courier
+	instance.mutex.Unlock()
+	if carried != nil {
+		carried.SetInstances(instance.couriers(view))
+	}
 }
 
 // leaderAddress returns the address of the leader, or an invalid address if there is no leader.
--- a/internal/cell/connector/connector.go
+++ b/internal/cell/connector/connector.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/status"
 
 	"pomelomoor/internal/cell/cellpb"
+	"pomelomoor/internal/cell/courier"
 	"pomelomoor/internal/cell/describer"
 )
 
@@ -58,10 +59,11 @@
 	leader  LeaderHandler
 	adviser describer.Adviser
 	store   LocalStore
+	workers describer.Workers
 }
 
 // Serve serves the calls of other instances on address until ctx is done.
-func Serve(ctx context.Context, address netip.AddrPort, leader LeaderHandler, adviser describer.Adviser, store LocalStore) error {
+func Serve(ctx context.Context, address netip.AddrPort, leader LeaderHandler, adviser describer.Adviser, store LocalStore, workers describer.Workers) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address.String())
 	if err != nil {
@@ -78,6 +80,7 @@
 		leader:  leader,
 		adviser: adviser,
 		store:   store,
+		workers: workers,
 	})
 	stop := context.AfterFunc(ctx, grpcServer.Stop)
 	defer stop()
@@ -160,6 +163,24 @@
 	return reply, nil
 }
 
+// Carry implements cellpb.CellServer.
+func (server *server) Carry(stream grpc.BidiStreamingServer[cellpb.CarryRequest, cellpb.CarryReply]) error {
+	return courier.Serve(stream, server.workers)
+}
+
+// Carry opens a stream of orders to the instance at address.
+func (connector *Connector) Carry(ctx context.Context, address netip.AddrPort) (courier.ClientStream, error) {
+	client, err := connector.client(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := client.Carry(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream to courier")
+	}
+	return stream, nil
+}
+
 // Connector calls other instances over one connection each. It is safe for concurrent use.
 type Connector struct {
 	mutex sync.Mutex
--- a/internal/cell/connector/connector_test.go
+++ b/internal/cell/connector/connector_test.go
@@ -37,7 +37,7 @@
 	go func() {
 		defer close(done)
 		// The test ends it.
-		_ = Serve(ctx, address, faultyLeader{}, nil, nil)
+		_ = Serve(ctx, address, faultyLeader{}, nil, nil, nil)
 	}()
 	connector, closeConnector := New()
 	defer closeConnector()
--- /dev/null
+++ b/internal/cell/courier/courier.go
@@ -0,0 +1,436 @@
+// Package courier carries a leader's orders to workers and their answers back through other instances. Orders and
+// answers travel in batches on one stream to each of a few instances, since a leader of a thousand workers would spend
+// most of its processor time on single calls. Nothing is decided on the way.
+package courier
+
+import (
+	"cmp"
+	"context"
+	"hash/crc32"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/cell/cellpb"
+	"pomelomoor/internal/cell/describer"
+)
+
+const (
+	// batchInterval is the minimum time between two messages of one direction on a stream.
+	batchInterval = 5 * time.Millisecond
+	// maxBatchItems limits the orders or answers of one message, whose size is limited by gRPC.
+	maxBatchItems = 64
+	// minWorkers is the number of workers from which a leader uses couriers. Below it a leader calls them itself at
+	// little cost, and saves the way through another instance.
+	minWorkers = 500
+	// maxCouriers limits the instances that carry orders.
+	maxCouriers = 8
+	// answerTimeout limits an order without its waiting time: the courier's own limit of 500 ms for the worker, and the
+	// way to the courier and back.
+	answerTimeout = 900 * time.Millisecond
+	// directPeriod is how long the leader calls a worker itself after a courier could not reach it.
+	directPeriod = 5 * time.Second
+	// maxUnansweredOrders is the number of orders in a row that a courier may leave without an answer before its stream
+	// is opened anew.
+	maxUnansweredOrders = 3
+	// streamRetryDelay is the delay before a stream to a courier is opened again. Until then the leader calls the
+	// workers itself.
+	streamRetryDelay = time.Second
+)
+
+// Instance is an instance that can carry orders.
+type Instance struct {
+	Address    netip.AddrPort
+	DataCentre string
+	CPUCores   float64
+}
+
+// ClientStream is the leader's side of a stream of orders.
+type ClientStream interface {
+	Send(request *cellpb.CarryRequest) error
+	Recv() (*cellpb.CarryReply, error)
+}
+
+// Options configures a Courier.
+type Options struct {
+	// Direct calls workers from this instance.
+	Direct describer.Workers
+	// Open opens a stream to the instance at an address. The stream ends with ctx.
+	Open func(ctx context.Context, address netip.AddrPort) (ClientStream, error)
+}
+
+// Courier implements describer.Workers for one term. It is safe for concurrent use.
+type Courier struct {
+	options Options
+	// ctx ends the streams.
+	ctx context.Context
+
+	mutex sync.Mutex
+	// workers counts the workers of the cell.
+	workers  int
+	couriers []*carrier
+	// directUntil holds the workers that a courier could not reach, and until when they are called directly.
+	directUntil map[describer.WorkerID]time.Time
+}
+
+var _ describer.Workers = (*Courier)(nil)
+
+// carrier is the stream to one instance.
+type carrier struct {
+	instance Instance
+	cancel   context.CancelFunc
+	orders   *batch[*cellpb.WorkerOrder]
+	// wake has an element when the cell may have become large enough.
+	wake chan struct{}
+
+	mutex sync.Mutex
+	// open means that the stream takes orders.
+	open bool
+	// end ends the open stream.
+	end        context.CancelFunc
+	unanswered int
+	lastID     uint64
+	waiting    map[uint64]chan *cellpb.WorkerAnswer
+}
+
+// New returns a Courier, and a function that ends its streams.
+func New(ctx context.Context, options Options) (*Courier, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Courier{
+		options:     options,
+		ctx:         ctx,
+		directUntil: map[describer.WorkerID]time.Time{},
+	}, cancel
+}
+
+// SetWorkers sets the number of workers of the cell.
+func (courier *Courier) SetWorkers(count int) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	courier.workers = count
+	for _, carrier := range courier.couriers {
+		carrier.wakeUp()
+	}
+}
+
+// SetInstances sets the other instances of the cell. Those with the most cores carry orders.
+func (courier *Courier) SetInstances(instances []Instance) {
+	chosen := slices.Clone(instances)
+	slices.SortFunc(chosen, func(left, right Instance) int {
+		if left.CPUCores != right.CPUCores {
+			return cmp.Compare(right.CPUCores, left.CPUCores)
+		}
+		return left.Address.Compare(right.Address)
+	})
+	chosen = spread(chosen)
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	var kept []*carrier
+	for _, existing := range courier.couriers {
+		if slices.Contains(chosen, existing.instance) {
+			kept = append(kept, existing)
+		} else {
+			existing.cancel()
+		}
+	}
+	for _, instance := range chosen {
+		if !slices.ContainsFunc(kept, func(existing *carrier) bool { return existing.instance == instance }) {
+			kept = append(kept, courier.newCarrier(instance))
+		}
+	}
+	courier.couriers = kept
+}
+
+// spread chooses couriers from instances, which are sorted by preference: the first of each data centre, then others.
+func spread(instances []Instance) []Instance {
+	var chosen, others []Instance
+	for _, instance := range instances {
+		if slices.ContainsFunc(chosen, func(other Instance) bool { return other.DataCentre == instance.DataCentre }) {
+			others = append(others, instance)
+		} else {
+			chosen = append(chosen, instance)
+		}
+	}
+	chosen = append(chosen, others...)
+	return chosen[:min(len(chosen), maxCouriers)]
+}
+
+func (courier *Courier) newCarrier(instance Instance) *carrier {
+	ctx, cancel := context.WithCancel(courier.ctx)
+	created := &carrier{
+		instance: instance,
+		cancel:   cancel,
+		orders: &batch[*cellpb.WorkerOrder]{
+			ready: make(chan struct{}, 1),
+		},
+		wake:    make(chan struct{}, 1),
+		waiting: map[uint64]chan *cellpb.WorkerAnswer{},
+	}
+	go courier.keepOpen(ctx, created)
+	return created
+}
+
+// keepOpen keeps the stream of a carrier open while the cell is large enough.
+func (courier *Courier) keepOpen(ctx context.Context, carrier *carrier) {
+	for ctx.Err() == nil {
+		carrier.clearWake()
+		if courier.wanted() {
+			// Whatever ended the stream, its orders have been given up, and a new one is opened.
+			_ = courier.runStream(ctx, carrier)
+		}
+		select {
+		case <-ctx.Done():
+		case <-carrier.wake:
+		case <-time.After(streamRetryDelay):
+		}
+	}
+}
+
+func (courier *Courier) wanted() bool {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return courier.workers >= minWorkers
+}
+
+// runStream opens the stream of a carrier and passes orders and answers until it ends.
+func (courier *Courier) runStream(ctx context.Context, carrier *carrier) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Orders are taken from now on and wait for the stream.
+	carrier.setOpen(cancel)
+	defer carrier.giveUp()
+	stream, err := courier.options.Open(ctx, carrier.instance.Address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		// An error ends the stream, which the receiver notices.
+		_ = carrier.orders.run(ctx, func(items []*cellpb.WorkerOrder) error {
+			return stream.Send(&cellpb.CarryRequest{
+				Orders: items,
+			})
+		})
+		cancel()
+	}()
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		for _, answer := range reply.GetAnswers() {
+			carrier.deliver(answer)
+		}
+	}
+}
+
+func (carrier *carrier) wakeUp() {
+	select {
+	case carrier.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (carrier *carrier) clearWake() {
+	select {
+	case <-carrier.wake:
+	default:
+	}
+}
+
+func (carrier *carrier) setOpen(end context.CancelFunc) {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	carrier.open = true
+	carrier.end = end
+	carrier.unanswered = 0
+}
+
+// giveUp answers all waiting orders as uncertain, since the stream may have carried them.
+func (carrier *carrier) giveUp() {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	carrier.open = false
+	for id, waiting := range carrier.waiting {
+		delete(carrier.waiting, id)
+		close(waiting)
+	}
+	carrier.orders.mutex.Lock()
+	defer carrier.orders.mutex.Unlock()
+	carrier.orders.items = nil
+}
+
+func (carrier *carrier) deliver(answer *cellpb.WorkerAnswer) {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	carrier.unanswered = 0
+	waiting := carrier.waiting[answer.GetId()]
+	delete(carrier.waiting, answer.GetId())
+	if waiting != nil {
+		waiting <- answer
+	}
+}
+
+// submit adds an order to the stream. It returns nil if the stream is not open.
+func (carrier *carrier) submit(order *cellpb.WorkerOrder) chan *cellpb.WorkerAnswer {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	if !carrier.open {
+		return nil
+	}
+	carrier.lastID++
+	order.Id = carrier.lastID
+	waiting := make(chan *cellpb.WorkerAnswer, 1)
+	carrier.waiting[order.Id] = waiting
+	carrier.orders.add(order)
+	return waiting
+}
+
+func (carrier *carrier) forget(id uint64) {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	delete(carrier.waiting, id)
+}
+
+// noteUnanswered notes that the instance left an order without an answer, and ends the stream after several.
+func (carrier *carrier) noteUnanswered() {
+	carrier.mutex.Lock()
+	defer carrier.mutex.Unlock()
+	carrier.unanswered++
+	if carrier.open && carrier.unanswered >= maxUnansweredOrders {
+		carrier.open = false
+		carrier.end()
+	}
+}
+
+// carrierFor returns the carrier for a worker, or nil if the leader is to call it itself. Carriers in the worker's
+// data centre are preferred.
+func (courier *Courier) carrierFor(worker *describer.Worker) *carrier {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	if courier.workers < minWorkers || len(courier.couriers) == 0 {
+		return nil
+	}
+	if until, direct := courier.directUntil[worker.ID]; direct {
+		if time.Now().Before(until) {
+			return nil
+		}
+		delete(courier.directUntil, worker.ID)
+	}
+	near := slices.DeleteFunc(slices.Clone(courier.couriers), func(carrier *carrier) bool {
+		return carrier.instance.DataCentre != worker.DataCentre
+	})
+	if len(near) == 0 {
+		near = courier.couriers
+	}
+	return near[int(crc32.ChecksumIEEE([]byte(worker.ID)))%len(near)]
+}
+
+// callDirectly keeps a worker from being called through couriers for a while.
+func (courier *Courier) callDirectly(id describer.WorkerID) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	courier.directUntil[id] = time.Now().Add(directPeriod)
+}
+
+// errNotCarried means that no carrier took the order.
+var errNotCarried = errors.New("no courier")
+
+// send carries one order. It returns errNotCarried if the order has to be sent directly.
+func (courier *Courier) send(ctx context.Context, target describer.Target, order *cellpb.WorkerOrder, timeout time.Duration) (*cellpb.WorkerAnswer, error) {
+	carrier := courier.carrierFor(target.Worker)
+	if carrier == nil {
+		return nil, errNotCarried
+	}
+	order.Worker = string(target.Worker.ID)
+	order.Address = target.Worker.Address.String()
+	order.Fence = int64(target.Fence)
+	waiting := carrier.submit(order)
+	if waiting == nil {
+		return nil, errNotCarried
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case answer, answered := <-waiting:
+		if !answered {
+			return nil, errors.Wrap(describer.ErrUncertain, "the stream to the courier ended")
+		}
+		err := answerError(answer)
+		if errors.Is(err, describer.ErrNoEffect) || errors.Is(err, describer.ErrUncertain) {
+			courier.callDirectly(target.Worker.ID)
+		}
+		return answer, err
+	case <-timer.C:
+		carrier.forget(order.Id)
+		carrier.noteUnanswered()
+		courier.callDirectly(target.Worker.ID)
+		return nil, errors.Wrap(describer.ErrUncertain, "the courier did not answer")
+	case <-ctx.Done():
+		carrier.forget(order.Id)
+		return nil, errors.Wrap(describer.ErrUncertain, ctx.Err().Error())
+	}
+}
+
+// Start implements describer.Workers.
+func (courier *Courier) Start(ctx context.Context, target describer.Target, order describer.StartOrder) (time.Duration, error) {
+	answer, err := courier.send(ctx, target, &cellpb.WorkerOrder{
+		Order: &cellpb.WorkerOrder_Start{
+			Start: &cellpb.StartOrder{
+				Task:       order.Task.String(),
+				Run:        int64(order.Run),
+				Payload:    order.Payload,
+				Checkpoint: order.Checkpoint,
+				Ticket:     order.Ticket,
+				Deadline:   int64(order.Deadline),
+			},
+		},
+	}, answerTimeout)
+	if errors.Is(err, errNotCarried) {
+		return courier.options.Direct.Start(ctx, target, order)
+	}
+	return time.Duration(answer.GetClock()), err
+}
+
+// Stop implements describer.Workers.
+func (courier *Courier) Stop(ctx context.Context, target describer.Target, order describer.StopOrder) error {
+	_, err := courier.send(ctx, target, &cellpb.WorkerOrder{
+		Order: &cellpb.WorkerOrder_Stop{
+			Stop: &cellpb.StopOrder{
+				Task: order.Task.String(),
+				Run:  int64(order.Run),
+			},
+		},
+	}, answerTimeout)
+	if errors.Is(err, errNotCarried) {
+		return courier.options.Direct.Stop(ctx, target, order)
+	}
+	return err
+}
+
+// Throttle implements describer.Workers. It is rare and not carried.
+func (courier *Courier) Throttle(ctx context.Context, target describer.Target, order describer.ThrottleOrder) error {
+	return courier.options.Direct.Throttle(ctx, target, order)
+}
+
+// Poll implements describer.Workers.
+func (courier *Courier) Poll(ctx context.Context, target describer.Target, order describer.PollOrder) (describer.PollAnswer, error) {
+	answer, err := courier.send(ctx, target, &cellpb.WorkerOrder{
+		Order: &cellpb.WorkerOrder_Poll{
+			Poll: &cellpb.PollOrder{
+				Deadline:        int64(order.Deadline),
+				AcknowledgedEnd: order.AcknowledgedEnd,
+				Wait:            int64(order.Wait),
+			},
+		},
+	}, order.Wait+answerTimeout)
+	switch {
+	case errors.Is(err, errNotCarried):
+		return courier.options.Direct.Poll(ctx, target, order)
+	case err != nil:
+		return describer.PollAnswer{}, err
+	}
+	return pollAnswerFromProto(answer)
+}
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -53,6 +53,8 @@
 	Config func() *describer.Config
 	// RequestAdvice sends a request to the advice service through the given instance.
 	RequestAdvice func(ctx context.Context, instance string, request scheduler.AdviceRequest) (describer.Advice, error)
+	// OnWorkers, if set, is called with the number of workers after a change of the registry.
+	OnWorkers func(count int)
 	// Observer receives decisions and outcomes.
 	Observer Observer
 }
@@ -336,9 +338,17 @@
 	for _, item := range items {
 		leader.handleWorkerEntry(ctx, now, item)
 	}
+	leader.reportWorkers()
 	leader.requestPass()
 }
 
+// reportWorkers calls OnWorkers.
+func (leader *Leader) reportWorkers() {
+	if leader.options.OnWorkers != nil {
+		leader.options.OnWorkers(len(leader.polling))
+	}
+}
+
 // replaceWorkers applies a full snapshot of the registry. It removes the known workers that are not in it.
 func (leader *Leader) replaceWorkers(ctx context.Context, now time.Time, items []describer.Item) {
 	listed := make(map[describer.WorkerID]bool, len(items))
@@ -351,6 +361,7 @@
 			leader.scheduler.RemoveWorker(worker.ID)
 		}
 	}
+	leader.reportWorkers()
 	leader.requestPass()
 }
 
