--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -503,7 +503,7 @@
 	},
 	{
 		Event:   EventRunPlaced,
-		Level:   slog.LevelInfo,
+		Level:   slog.LevelDebug,
 		Name:    "RunPlaced",
 		Text:    "run placed",
 		Meaning: "The leader chose `Worker` for the run and writes it to the record. `Age` is the age of the worker's last response.",
--- a/internal/node/logger/writer.go
+++ b/internal/node/logger/writer.go
@@ -11,6 +11,9 @@
 // queueCapacity is the number of lines that wait for a slow writer. Further lines are dropped.
 const queueCapacity = 4096
 
+// bufferBytes is the size of the buffer for lines that wait for a flush.
+const bufferBytes = 64 << 10
+
 // flushInterval is the minimum time between two flushes. A busy instance logs thousands of lines a second, and a
 // write for each would cost more than the lines.
 const flushInterval = 10 * time.Millisecond
@@ -31,7 +34,7 @@
 	stop := make(chan struct{})
 	var background sync.WaitGroup
 	background.Go(func() {
-		asyncWriter.writeLines(bufio.NewWriter(writer), stop)
+		asyncWriter.writeLines(bufio.NewWriterSize(writer, bufferBytes), stop)
 	})
 	return asyncWriter, func() {
 		close(stop)
