relayer: the store counts as down for all only by answers from every data centre

Cause: read again, the confirmation of a term through four random instances could be wrong: when the leader's data centre alone is cut off from the store, all four may be in it, and the leader would renew leases beside its successor for longer than the successor waits.

Change: about sixteen instances are asked, at least two of each data centre; only if some of every data centre cannot reach the store does the term stay confirmed.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -123,6 +123,7 @@
 		Direct:               instance.store,
 		Peer:                 instance.connector,
 		Peers:                instance.relayAddresses,
+		PeersByDataCentre:    instance.peersByDataCentre,
 		OnReachabilityChange: instance.observer.StoreReachability,
 	}
 	instance.admitter = admitter.New(admitter.Options{
@@ -449,6 +450,17 @@
 	return append(append(addresses, local...), remote...)
 }
 
+// peersByDataCentre returns the addresses of the other instances by data centre.
+func (instance *Instance) peersByDataCentre() map[string][]netip.AddrPort {
+	addresses := map[string][]netip.AddrPort{}
+	for name, member := range instance.elector.View().Members {
+		if name != instance.settings.Instance {
+			addresses[member.DataCentre] = append(addresses[member.DataCentre], member.Address)
+		}
+	}
+	return addresses
+}
+
 // State implements connector.LeaderHandler.
 func (instance *Instance) State(id describer.JobID) (describer.JobState, error) {
 	if leader := instance.currentLeader(); leader != nil {
--- /dev/null
+++ b/internal/cell/elector/term.go
@@ -0,0 +1,70 @@
+package elector
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"pomelomoor/internal/cell/describer"
+)
+
+// confirmThroughPeers finds out from other instances whether the term can have ended while this one does not reach
+// the store. While the store is down for all of them, no other instance can become the leader.
+func (elector *Elector) confirmThroughPeers(ctx context.Context) {
+	elector.mutex.Lock()
+	fence, leading := elector.fence, elector.cancelTerm != nil
+	elector.mutex.Unlock()
+	if !leading || elector.options.ReadThroughPeers == nil {
+		return
+	}
+	sent := time.Now()
+	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	item, err := elector.options.ReadThroughPeers(peerCtx, LeaderKey)
+	switch {
+	case err == nil && item.Revision == describer.Revision(fence), errors.Is(err, describer.ErrNoEffect):
+		elector.mutex.Lock()
+		elector.lastConfirmation = sent
+		elector.mutex.Unlock()
+	case err == nil, errors.Is(err, describer.ErrNotFound):
+		elector.stepDown("other instances see another leader or none")
+	}
+}
+
+// confirmed reports whether the current term is sure to be the newest.
+func (elector *Elector) confirmed() bool {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	return time.Since(elector.lastConfirmation) < confirmationValidity
+}
+
+// largerMember reports whether the instance falls short of the cores that a leader should have and another member has
+// clearly more.
+func (elector *Elector) largerMember() bool {
+	own := elector.options.Self.CPUCores
+	if own >= sufficientCPUCores {
+		return false
+	}
+	for _, member := range elector.view.Members {
+		if member.CPUCores > largerMemberFactor*own {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver ends the term of an instance that is short of CPU cores once a larger member can lead.
+func (elector *Elector) handOver() {
+	elector.mutex.Lock()
+	delay := handOverDelay
+	if elector.handedOver {
+		delay = repeatedHandOverDelay
+	}
+	due := elector.cancelTerm != nil && time.Since(elector.termStart) > delay && elector.largerMember()
+	elector.handedOver = elector.handedOver || due
+	elector.mutex.Unlock()
+	if due {
+		elector.stepDown("a larger instance can lead")
+	}
+}
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -223,27 +223,6 @@
 	})
 }
 
-// contain handles one item and contains its panic, so that one bad item does not end the process of every leader in
-// turn. The caller holds the mutex.
-func (leader *Leader) contain(item string, handle func()) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			leader.options.Observer.Contained(item, cause)
-		}
-	}()
-	handle()
-}
-
-// update handles one item under the mutex, contains its panic and requests a pass.
-func (leader *Leader) update(item string, handle func(now time.Time)) {
-	leader.mutex.Lock()
-	defer leader.mutex.Unlock()
-	leader.contain(item, func() {
-		handle(time.Now())
-	})
-	leader.requestPass()
-}
-
 // parseJob decodes the job of an inbox item. It returns nil if the item is not a job or cannot be decoded.
 func (leader *Leader) parseJob(item describer.Item) *describer.Job {
 	if item.Deleted || !strings.HasPrefix(item.Key, persister.JobPrefix) {
@@ -486,57 +465,6 @@
 	}
 }
 
-// acquire takes one of the places in open. It returns false if ctx ends first.
-func acquire(ctx context.Context, open chan struct{}) bool {
-	select {
-	case open <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func release(open chan struct{}) {
-	<-open
-}
-
-// startRun sends a start order and reports the answer to the scheduler.
-func (leader *Leader) startRun(ctx context.Context, start scheduler.Start) {
-	if !acquire(ctx, leader.openStarts) {
-		return
-	}
-	defer release(leader.openStarts)
-	startTime := time.Now()
-	_, err := leader.options.Workers.Start(ctx, leader.target(start.Worker), start.Order)
-	leader.options.Observer.OrderAnswered("start", start.Order.Task, start.Order.Run, start.Worker.ID, "", time.Since(startTime), err)
-	if errors.Is(err, describer.ErrFenced) {
-		leader.cancelTerm(errFenced)
-		return
-	}
-	leader.options.Observer.RunStarted(start.Waited)
-	leader.update("start of "+start.Order.Task.String(), func(now time.Time) {
-		leader.scheduler.StartAnswered(now, start, err)
-	})
-}
-
-// stopRun sends a stop order and reports the answer to the scheduler.
-func (leader *Leader) stopRun(ctx context.Context, stop scheduler.Stop) {
-	if !acquire(ctx, leader.openStops) {
-		return
-	}
-	defer release(leader.openStops)
-	startTime := time.Now()
-	err := leader.options.Workers.Stop(ctx, leader.target(stop.Worker), stop.Order)
-	leader.options.Observer.OrderAnswered("stop", stop.Order.Task, stop.Order.Run, stop.Worker.ID, stop.Reason, time.Since(startTime), err)
-	if errors.Is(err, describer.ErrFenced) {
-		leader.cancelTerm(errFenced)
-		return
-	}
-	leader.update("stop of "+stop.Order.Task.String(), func(now time.Time) {
-		leader.scheduler.StopAnswered(now, stop, err)
-	})
-}
-
 // requestAdvice requests advice through an instance and passes the answer to the scheduler.
 func (leader *Leader) requestAdvice(ctx context.Context, instance string, request scheduler.AdviceRequest) error {
 	answer, err := leader.options.RequestAdvice(ctx, instance, request)
--- a/internal/cell/relayer/relayer.go
+++ b/internal/cell/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,8 @@
 	relayTimeout = 700 * time.Millisecond
 	// maxRelayPeers is the number of instances tried for one call.
 	maxRelayPeers = 2
-	// maxAskedPeers is the number of instances that are asked at the same time for one relayed read.
-	maxAskedPeers = 4
+	// maxAskedPeers is about the number of instances that are asked at the same time for one relayed read.
+	maxAskedPeers = 16
 )
 
 // Peer makes store calls through another instance.
@@ -40,6 +41,8 @@
 	Peer   Peer
 	// Peers returns the addresses of the instances to try, the preferred one first.
 	Peers func() []netip.AddrPort
+	// PeersByDataCentre returns the addresses of the other instances by data centre.
+	PeersByDataCentre func() map[string][]netip.AddrPort
 	// OnReachabilityChange, if set, is called with the error when the store becomes unreachable, and with nil when it is
 	// reachable again.
 	OnReachabilityChange func(err error)
@@ -124,39 +127,58 @@
 	return item, err
 }
 
-// RelayedRead reads a key through other instances only, and asks several at the same time. Its error is ErrNoEffect
-// if none of them read the key and at least one answered that it cannot reach the store.
+// RelayedRead reads a key through other instances only, and asks several of each data centre at the same time. Its
+// error is ErrNoEffect only if none of them read the key and at least one in each data centre answered that it cannot
+// reach the store: while a data centre does not answer, its instances may be served.
 func (relayer *Relayer) RelayedRead(ctx context.Context, key string) (describer.Item, error) {
 	type answer struct {
-		item describer.Item
-		err  error
+		dataCentre string
+		item       describer.Item
+		err        error
 	}
-	peers := relayer.Peers()
-	rand.Shuffle(len(peers), func(left, right int) {
-		peers[left], peers[right] = peers[right], peers[left]
-	})
-	peers = peers[:min(len(peers), maxAskedPeers)]
-	answers := make(chan answer, len(peers))
-	for _, address := range peers {
-		go func() {
-			item, err := relayer.Peer.Read(ctx, address, key)
-			answers <- answer{
-				item: item,
-				err:  err,
-			}
-		}()
-	}
-	err := errors.Wrap(describer.ErrUncertain, "no other instance answered")
-	for range peers {
-		answer := <-answers
-		if storeAnswered(answer.err) {
-			return answer.item, answer.err
+	groups := relayer.PeersByDataCentre()
+	answers := make(chan answer)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := 0
+	for dataCentre, peers := range groups {
+		peers = slices.Clone(peers)
+		rand.Shuffle(len(peers), func(left, right int) {
+			peers[left], peers[right] = peers[right], peers[left]
+		})
+		for _, address := range peers[:min(len(peers), max(maxAskedPeers/len(groups), 2))] {
+			asked++
+			go func() {
+				item, err := relayer.Peer.Read(ctx, address, key)
+				select {
+				case answers <- answer{
+					dataCentre: dataCentre,
+					item:       item,
+					err:        err,
+				}:
+				case <-ctx.Done():
+				}
+			}()
 		}
-		if errors.Is(answer.err, describer.ErrNoEffect) {
-			err = answer.err
+	}
+	unreachable := map[string]bool{}
+	for waiting := asked; waiting > 0; waiting-- {
+		select {
+		case answer := <-answers:
+			if storeAnswered(answer.err) {
+				return answer.item, answer.err
+			}
+			if errors.Is(answer.err, describer.ErrNoEffect) {
+				unreachable[answer.dataCentre] = true
+			}
+		case <-ctx.Done():
+			waiting = 0
 		}
 	}
-	return describer.Item{}, err
+	if asked > 0 && len(unreachable) == len(groups) {
+		return describer.Item{}, errors.Wrap(describer.ErrNoEffect, "no instance reaches the store")
+	}
+	return describer.Item{}, errors.Wrap(describer.ErrUncertain, "a data centre did not answer")
 }
 
 // Commit makes a change, directly or through another instance. Because it may be attempted more than once, the
--- a/internal/cell/relayer/relayer_test.go
+++ b/internal/cell/relayer/relayer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -103,3 +105,93 @@
 		t.Errorf("reported %v, want one outage and one recovery", reported)
 	}
 }
+
+// readPeer answers reads by the port of the address.
+type readPeer struct {
+	Peer
+
+	errs map[uint16]error
+}
+
+func (readPeer readPeer) Read(ctx context.Context, address netip.AddrPort, key string) (describer.Item, error) {
+	err, answers := readPeer.errs[address.Port()]
+	if !answers {
+		<-ctx.Done()
+		return describer.Item{}, describer.ErrUncertain
+	}
+	return describer.Item{
+		Key:      key,
+		Revision: 7,
+	}, err
+}
+
+// TestRelayedRead guards against a leader that takes the store for down for all while a part of the cell may reach it
+// and have another leader: leases must not be renewed then.
+func TestRelayedRead(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// groups are the ports of the other instances by data centre; those without an entry in errs do not answer.
+		groups map[string][]uint16
+		errs   map[uint16]error
+		want   error
+	}{
+		{
+			name:   "one reads the key",
+			groups: map[string][]uint16{"a": {1}, "b": {2, 3}},
+			errs:   map[uint16]error{1: describer.ErrNoEffect, 2: describer.ErrNoEffect, 3: nil},
+		},
+		{
+			name:   "the key is gone",
+			groups: map[string][]uint16{"a": {1}, "b": {2}},
+			errs:   map[uint16]error{1: describer.ErrNoEffect, 2: describer.ErrNotFound},
+			want:   describer.ErrNotFound,
+		},
+		{
+			name:   "no data centre reaches the store",
+			groups: map[string][]uint16{"a": {1}, "b": {2, 3}},
+			errs:   map[uint16]error{1: describer.ErrNoEffect, 2: describer.ErrNoEffect},
+			want:   describer.ErrNoEffect,
+		},
+		{
+			name:   "a data centre does not answer",
+			groups: map[string][]uint16{"a": {1}, "b": {2, 3}},
+			errs:   map[uint16]error{1: describer.ErrNoEffect},
+			want:   describer.ErrUncertain,
+		},
+		{
+			name:   "an answer was lost",
+			groups: map[string][]uint16{"a": {1}},
+			errs:   map[uint16]error{1: describer.ErrUncertain},
+			want:   describer.ErrUncertain,
+		},
+		{
+			name: "alone",
+			want: describer.ErrUncertain,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			relayer := &Relayer{
+				Peer: readPeer{
+					errs: test.errs,
+				},
+				PeersByDataCentre: func() map[string][]netip.AddrPort {
+					addresses := map[string][]netip.AddrPort{}
+					for dataCentre, ports := range test.groups {
+						for _, port := range ports {
+							addresses[dataCentre] = append(addresses[dataCentre], netip.AddrPortFrom(netip.IPv6Loopback(), port))
+						}
+					}
+					return addresses
+				},
+			}
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				item, err := relayer.RelayedRead(ctx, "key")
+				if !errors.Is(err, test.want) || err == nil && item.Revision != 7 {
+					t.Errorf("item %+v, error %v, want %v", item, err, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/sender/pool_test.go
+++ b/internal/gateway/sender/pool_test.go
@@ -83,7 +83,7 @@
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
-		_, _ = fmt.Fprint(writer, request.Header.Get("X-Expect-Instance"))
+		_, _ = fmt.Fprint(writer, request.Header.Get("X-Addressee"))
 	}))
 	defer server.Close()
 	pool, closePool := sender.NewPool(sender.PoolOptions{
@@ -94,7 +94,7 @@
 		Method:           http.MethodPost,
 		Address:          netip.MustParseAddrPort(server.Listener.Addr().String()),
 		Path:             "/",
-		Header:           http.Header{"X-Expect-Instance": []string{"worker"}},
+		Header:           http.Header{"X-Addressee": []string{"worker"}},
 		MaxResponseBytes: 100,
 	}
 	send := func(ctx context.Context) error {
