courier: batches of 25 ms over six instances

Cause: with 5 ms and eight couriers a message carried 1.4 orders at the crest (2,200 orders a second), so that the leader handled almost as many messages as calls before.

Change: one message in 25 ms and direction, six couriers.

--- a/internal/cell/courier/courier.go
+++ b/internal/cell/courier/courier.go
@@ -20,14 +20,14 @@
 
 const (
 	// batchInterval is the minimum time between two messages of one direction on a stream.
-	batchInterval = 5 * time.Millisecond
+	batchInterval = 25 * time.Millisecond
 	// maxBatchItems limits the orders or answers of one message, whose size is limited by gRPC.
 	maxBatchItems = 64
 	// minWorkers is the number of workers from which a leader uses couriers. Below it a leader calls them itself at
 	// little cost, and saves the way through another instance.
 	minWorkers = 500
 	// maxCouriers limits the instances that carry orders.
-	maxCouriers = 8
+	maxCouriers = 6
 	// answerTimeout limits an order without its waiting time: the courier's own limit of 500 ms for the worker, and the
 	// way to the courier and back.
 	answerTimeout = 900 * time.Millisecond
