--- a/internal/cell/elector/elector_test.go
+++ b/internal/cell/elector/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,8 @@
 	if err := fakeStore.call(); err != nil {
 		return 0, err
 	}
+	fakeStore.mutex.Lock()
+	defer fakeStore.mutex.Unlock()
 	fakeStore.revision++
 	return fakeStore.revision, nil
 }
@@ -91,16 +94,22 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &fakeStore{}
 				ctx, cancel := context.WithCancel(t.Context())
-				var term Term
-				var termCtx context.Context
+				type begun struct {
+					term Term
+					ctx  context.Context
+				}
+				terms := make(chan begun, 1)
 				elector := New(Options{
 					Store: store,
 					Self: Member{
 						Instance: "a",
 						CPUCores: sufficientCPUCores,
 					},
-					RunLeader: func(ctx context.Context, begun Term) error {
-						term, termCtx = begun, ctx
+					RunLeader: func(ctx context.Context, term Term) error {
+						terms <- begun{
+							term: term,
+							ctx:  ctx,
+						}
 						<-ctx.Done()
 						return ctx.Err()
 					},
@@ -120,8 +129,10 @@
 					}
 				}()
 				time.Sleep(time.Second)
-				if termCtx == nil || term.Fence != 2 || !term.Confirmed() {
-					t.Fatalf("term %+v has not begun or is not confirmed", term)
+				current := <-terms
+				term, termCtx := current.term, current.ctx
+				if term.Fence != 2 || !term.Confirmed() {
+					t.Fatalf("term %+v is not confirmed", term)
 				}
 				store.setUnreachable(true)
 				time.Sleep(3 * time.Second)
@@ -149,7 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{}
 		ctx, cancel := context.WithCancel(t.Context())
-		terms := 0
+		var terms atomic.Int32
 		elector := New(Options{
 			Store: store,
 			Self: Member{
@@ -157,7 +168,7 @@
 				CPUCores: 0.2,
 			},
 			RunLeader: func(ctx context.Context, _ Term) error {
-				terms++
+				terms.Add(1)
 				<-ctx.Done()
 				return ctx.Err()
 			},
@@ -178,20 +189,23 @@
 			_ = elector.Run(ctx)
 		}()
 		time.Sleep(2 * time.Second)
-		if terms != 1 {
-			t.Fatalf("%d terms without a larger member, want 1", terms)
+		if terms.Load() != 1 {
+			t.Fatalf("%d terms without a larger member, want 1", terms.Load())
 		}
 		elector.updateView([]describer.Item{{
 			Key:   MemberPrefix + "large",
 			Value: []byte(`{"Instance":"large","CPUCores":0.8}`),
 		}}, false)
 		time.Sleep(2 * time.Second)
-		if elector.handedOver != true {
+		elector.mutex.Lock()
+		handedOver := elector.handedOver
+		elector.mutex.Unlock()
+		if !handedOver {
 			t.Error("the term goes on beside a larger member")
 		}
 		time.Sleep(30 * time.Second)
-		if terms != 2 {
-			t.Errorf("%d terms, want 2: the larger member does not lead", terms)
+		if terms.Load() != 2 {
+			t.Errorf("%d terms, want 2: the larger member does not lead", terms.Load())
 		}
 		cancel()
 		<-done
