--- a/internal/cell/leader/list_test.go
+++ b/internal/cell/leader/list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,12 +21,16 @@
 	pageSize  int
 	latency   time.Duration
 	failAfter int
-	calls     int
-	failed    int
+
+	mutex  sync.Mutex
+	calls  int
+	failed int
 }
 
 func (pagedStore *pagedStore) List(_ context.Context, prefix, after string) (describer.Page, error) {
 	time.Sleep(pagedStore.latency)
+	pagedStore.mutex.Lock()
+	defer pagedStore.mutex.Unlock()
 	pagedStore.calls++
 	if pagedStore.failAfter > 0 && pagedStore.calls%pagedStore.failAfter == 0 {
 		pagedStore.failed++
