bootstrapper: instances of an earlier version are no couriers

Cause: read again for mixed versions: an instance of the last landed build does not serve Carry, so that during an upgrade of a large cell the stream to it would be opened each second, and the orders of that moment would have no answer.

Change: only members that tell their cores carry orders; the last build does not tell them.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -375,11 +375,12 @@
 	return err
 }
 
-// couriers returns the other instances of the cell.
+// couriers returns the other instances of the cell that can carry orders. An earlier version, which cannot, does not
+// tell its cores.
 func (instance *Instance) couriers(view elector.View) []courier.Instance {
 	var couriers []courier.Instance
 	for name, member := range view.Members {
-		if name != instance.settings.Instance {
+		if name != instance.settings.Instance && member.CPUCores > 0 {
 			couriers = append(couriers, courier.Instance{
 				Address:    member.Address,
 				DataCentre: member.DataCentre,
