scheduler: heldUntil, a name that says what the time is for

Cause: read as a newcomer: evictedUntil also kept the place of a run that had ended.

Change: a name and two comments.

--- a/internal/cell/scheduler/lasting.go
+++ b/internal/cell/scheduler/lasting.go
@@ -45,7 +45,7 @@
 // evict stops runs of other work for a lasting task that has waited too long: by the rules of the platform's users
 // it must run again soon, however full the workers are. One worker is cleared at a time for each step.
 func (scheduler *Scheduler) evict(now time.Time, step *step) {
-	if !step.Perpetual || step.Gang || now.Sub(step.waitsSince()) < evictionDelay || now.Before(step.evictedUntil) {
+	if !step.Perpetual || step.Gang || now.Sub(step.waitsSince()) < evictionDelay || now.Before(step.heldUntil) {
 		return
 	}
 	var task *task
@@ -73,10 +73,10 @@
 		}
 	}
 	if best == nil {
-		step.evictedUntil = now.Add(evictionRetryInterval)
+		step.heldUntil = now.Add(evictionRetryInterval)
 		return
 	}
-	step.evictedUntil = now.Add(minEvictionValidity)
+	step.heldUntil = now.Add(minEvictionValidity)
 	cleared.heldFor = step
 	for _, run := range best {
 		scheduler.stop(now, run, "its worker's capacity goes to the lasting task "+task.id().String())
@@ -106,12 +106,12 @@
 		return
 	}
 	worker.heldFor = step
-	step.evictedUntil = now.Add(placeHoldPeriod)
+	step.heldUntil = now.Add(placeHoldPeriod)
 }
 
 // heldFirst moves the worker on which capacity is kept for step to the front of workers.
 func heldFirst(now time.Time, step *step, workers []*worker) []*worker {
-	if !now.Before(step.evictedUntil) {
+	if !now.Before(step.heldUntil) {
 		return workers
 	}
 	for index, worker := range workers {
@@ -124,7 +124,7 @@
 
 // heldForOther reports whether capacity of the worker is kept for a lasting step other than step.
 func (worker *worker) heldForOther(now time.Time, step *step) bool {
-	return worker.heldFor != nil && worker.heldFor != step && now.Before(worker.heldFor.evictedUntil) && worker.heldFor.unplaced > 0
+	return worker.heldFor != nil && worker.heldFor != step && now.Before(worker.heldFor.heldUntil) && worker.heldFor.unplaced > 0
 }
 
 // evictable returns the runs on the worker that may be stopped for a lasting task, in two forms. The members of a
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -213,8 +213,8 @@
 	criticalPath time.Duration
 	// waitingFrom is when the waiting tasks of a lasting step began to wait, zero before the first run.
 	waitingFrom time.Time
-	// evictedUntil is until when the runs that were stopped for this step are given time to end.
-	evictedUntil time.Time
+	// heldUntil is until when capacity is kept for this lasting step. No runs are stopped for it before.
+	heldUntil time.Time
 	// evacuated is the pass in which a task of the step was last found on a draining worker.
 	evacuated time.Time
 }
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -61,8 +61,7 @@
 	health          health
 	// drainingSince is when the worker first reported that it is draining; zero while it is not.
 	drainingSince time.Time
-	// heldFor is the lasting step for which runs on the worker were stopped last. Until its evictedUntil the capacity
-	// is kept for it.
+	// heldFor is the lasting step for which capacity of the worker was kept last, until its heldUntil.
 	heldFor *step
 }
 
