--- a/review/harness/crashes.go
+++ b/review/harness/crashes.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// playCrashes crashes one runner of seven again and again. It is the only one that a lasting task may run on.
+// playCrashes crashes one runner of eight again and again. It is the only one that a lasting task may run on.
 func playCrashes(record *record) []string {
 	const crashes = 5
 	queue := route{name: "lasting", maxAttempts: 3}
 	var labels [][]string
-	for index := range 6 {
+	for index := range 7 {
 		labels = append(labels, []string{"a", fmt.Sprintf("r1-%d", 1+index/2)})
 	}
 	labels = append(labels, []string{"b", "r1-4"})
@@ -20,7 +20,7 @@
 	cell.submit(queue, id, work{Lasts: true}, step{Count: 1, CPU: 4000, MemMb: 1024, Requires: "b", Perpetual: true})
 	begin := time.Now()
 	record.say("a job is accepted whose task lasts and needs a runner of kind b")
-	flaky := cell.runners[6]
+	flaky := cell.runners[7]
 	for crash := range crashes {
 		time.Sleep(time.Until(begin.Add(time.Duration(4+7*crash) * time.Second)))
 		if !trouble {
