Review: a runner that restarts under its id forgets ends that were never listed

A poll names the last end of the runner's former life while the leader does not know of the new one; the script restarts runners in 0.1 s while the store is slow.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -44,7 +44,7 @@
 		"route":   playRoute,
 		"poison":  playPoison,
 		"crashes": playCrashes,
-		"full":    playFull,
+		"reborn":  playReborn,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fail("usage: harness CASE RECORD")
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -144,7 +144,11 @@
 		_ = server.Serve(listener)
 	}()
 	runner.record.add("runner %s begins a life at %s", runner.id, runner.address)
-	runner.store.put("servers/"+runner.id, entry)
+	go func() {
+		// A runner's write takes as long as any other call to the store.
+		time.Sleep(runner.store.delay())
+		runner.store.put("servers/"+runner.id, entry)
+	}()
 }
 
 // crash ends the life of the runner at once. Its connections are reset.
@@ -239,6 +243,10 @@
 	}
 	call := strings.TrimPrefix(request.URL.Path, "/-/")
 	runner.mutex.Lock()
+	if !runner.up {
+		runner.mutex.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	born := runner.born
 	status, body := runner.serve(call, order)
 	timer := time.NewTimer(time.Duration(min(order.WaitMs, 2000)) * time.Millisecond)
@@ -256,6 +264,7 @@
 			runner.mutex.Unlock()
 			panic(http.ErrAbortHandler)
 		}
+		runner.forget(order.LastSeen)
 		runner.lists(body)
 	}
 	runner.mutex.Unlock()
@@ -297,10 +306,7 @@
 			runner.record.lapsed(runner.id, runner.born)
 		}
 		hold()
-		for len(runner.finished) > 0 && runner.finished[0][0].(int64) <= order.LastSeen {
-			runner.finished = runner.finished[1:]
-		}
-		runner.record.noted(runner.id, runner.born, order.LastSeen)
+		runner.forget(order.LastSeen)
 		runner.lists(body)
 		return http.StatusOK, body
 	default:
@@ -348,6 +354,14 @@
 	return http.StatusOK, body
 }
 
+// forget forgets the ends up to lastSeen. It holds for as long as the call that carries it waits.
+func (runner *runner) forget(lastSeen int64) {
+	for len(runner.finished) > 0 && runner.finished[0][0].(int64) <= lastSeen {
+		runner.finished = runner.finished[1:]
+	}
+	runner.record.noted(runner.id, runner.born, lastSeen)
+}
+
 // lists adds the lists of running and ended runs to a response.
 func (runner *runner) lists(body map[string]any) {
 	running := [][]any{}
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -60,6 +60,21 @@
 	reads     int
 	// writers holds the name of the caller that made each revision.
 	writers map[int64]string
+	// slow is how many times as long as usual the answers take.
+	slow int
+}
+
+// setSlow makes the answers take times as long as usual.
+func (store *store) setSlow(times int) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.slow = times
+}
+
+func (store *store) delay() time.Duration {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return storeDelay * time.Duration(max(store.slow, 1))
 }
 
 func newStore() *store {
@@ -191,7 +206,7 @@
 }
 
 func (store *store) handle(caller string, writer http.ResponseWriter, request *http.Request) {
-	time.Sleep(storeDelay)
+	time.Sleep(store.delay())
 	call := strings.TrimPrefix(request.URL.Path, "/-/")
 	name, id, _ := strings.Cut(call, "/")
 	if name == "kv-watch" {
