--- a/review/harness/cell.go
+++ b/review/harness/cell.go
@@ -315,7 +315,6 @@
 	Checkpoint bool   `json:"checkpoints,omitempty"`
 	Requires   string `json:"requires,omitempty"`
 	Perpetual  bool   `json:"perpetual,omitempty"`
-	Gang       bool   `json:"gang,omitempty"`
 }
 
 // submit hands a job in, as a client does: again at another node after no response, a 502 or a 504, and after the time
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -165,20 +165,6 @@
 	return ends
 }
 
-// broken reports whether another member of a gang's run has ended, other than by being done.
-func (record *record) broken(task string, number int) bool {
-	record.mutex.Lock()
-	defer record.mutex.Unlock()
-	step := stepOf(task) + "."
-	for index := range record.ends {
-		end := &record.ends[index]
-		if end.number == number && end.task != task && end.how != "done" && strings.HasPrefix(end.task, step) {
-			return true
-		}
-	}
-	return false
-}
-
 // running returns the number of runs at work of the tasks whose names begin with prefix.
 func (record *record) running(prefix string) int {
 	record.mutex.Lock()
@@ -225,18 +211,3 @@
 	}
 	return starts
 }
-
-// runningOn returns the number of runs at work on a runner of the tasks whose names begin with prefix.
-func (record *record) runningOn(runner, prefix string) int {
-	record.mutex.Lock()
-	defer record.mutex.Unlock()
-	count := 0
-	for task, runs := range record.live {
-		for _, run := range runs {
-			if run.runner == runner && strings.HasPrefix(task, prefix) {
-				count++
-			}
-		}
-	}
-	return count
-}
--- a/review/harness/route.go
+++ b/review/harness/route.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// finishTime is finish_s of the small sites, lostTime the 3 s of the rule LOST, and calmTime what is calm before them.
+	// finishTime is finish_s of the small sites and lostTime the 3 s of the rule LOST.
 	finishTime = 14 * time.Second
 	lostTime   = 3 * time.Second
-	calmTime   = 4 * time.Second
 )
 
 // playRoute removes the route of a queue whose jobs are at work, and kills the process that leads.
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -18,7 +18,6 @@
 	stopTime        = 50 * time.Millisecond
 	restoreTime     = 250 * time.Millisecond
 	maxFinishedRows = 500
-	gangTimeout     = 3 * time.Second
 	serviceName     = "sorter"
 )
 
@@ -35,17 +34,13 @@
 	FailOnceMs int `json:",omitempty"`
 	// Lasts means that the tasks have no end.
 	Lasts bool `json:",omitempty"`
-	// Gang is the number of tasks of a step that work only together; 0 means that each works by itself.
-	Gang int `json:",omitempty"`
 }
 
 // liveRun is a run on a runner.
 type liveRun struct {
-	number int
-	work   work
-	// start is when the run began, and alone means that it is a member of a gang and waits for the others.
+	number   int
+	work     work
 	start    time.Time
-	alone    bool
 	resumed  time.Duration
 	total    time.Duration
 	stopping bool
@@ -53,9 +48,6 @@
 
 // worked returns how much of its work the run has done.
 func (run *liveRun) worked() time.Duration {
-	if run.alone {
-		return run.resumed
-	}
 	elapsed := time.Since(run.start)
 	if run.resumed > 0 {
 		elapsed = max(elapsed-restoreTime, 0)
@@ -63,11 +55,6 @@
 	return min(run.resumed+elapsed, run.total)
 }
 
-// stepOf returns the name of the step of a task.
-func stepOf(task string) string {
-	return task[:strings.LastIndex(task, ".")]
-}
-
 // checkpoint returns the last checkpoint of the run. Its first eight digits are the milliseconds of work that it holds.
 func (run *liveRun) checkpoint(task string) string {
 	if run.work.SaveMs == 0 {
@@ -186,13 +173,6 @@
 		case lapsed:
 			runner.end(task, "lapsed")
 		case run.stopping:
-		case run.work.Gang > 0 && runner.record.broken(task, run.number):
-			runner.end(task, "broken")
-		case run.alone && time.Since(run.start) > gangTimeout:
-			runner.end(task, "alone")
-		case run.alone && runner.record.running(stepOf(task)+".") >= run.work.Gang:
-			run.alone = false
-			run.start = time.Now()
 		case run.work.FailOnceMs > 0 && run.number == 1 && time.Since(run.start) >= time.Duration(run.work.FailOnceMs)*time.Millisecond:
 			runner.end(task, "failed")
 		case run.work.Lasts || run.worked() < run.total:
@@ -345,10 +325,6 @@
 		saved, _ := strconv.ParseInt(order.Checkpoint[:8], 16, 64)
 		run.resumed = time.Duration(saved) * time.Millisecond
 	}
-	run.alone = spec.Gang > 0
-	if run.alone {
-		run.total = time.Duration(spec.Ms) * time.Millisecond
-	}
 	runner.runs[order.Task] = run
 	runner.record.began(runner.id, runner.born, order.Task, order.Run)
 	return http.StatusOK, body
