scheduler: a task waits for the rest of a truncated list of ends

Cause: a worker lists 500 ends at a time. reconcile took a run that was in neither list of an answer for one that was never started, or was lost, and released its task at once. The end came with a later page and was ignored, since the task had a newer run, but it was acknowledged.

Fix: a run that is in neither list while the list of ends is truncated becomes phaseUnlisted. It is not on the worker any more, so it takes up no room, blocks no suspect, counts for no limit per worker, is not stopped and is not blamed for a crash; its task waits until its end is listed or a list is complete. Lasting tasks run again however they ended, so they do not wait. An end is still acknowledged only when its record is durable, so nothing else changes in how the lists are read.

--- a/internal/cell/leader/fakes_test.go
+++ b/internal/cell/leader/fakes_test.go
@@ -21,6 +21,8 @@
 	intraRegionLatency = time.Millisecond
 	// commitLatency is the duration of a write to the store.
 	commitLatency = 5 * time.Millisecond
+	// maxListedEnds is the number of ended runs that a worker lists at a time.
+	maxListedEnds = 500
 )
 
 func workerName(index int) describer.WorkerID {
@@ -418,7 +420,8 @@
 			Percent: 100,
 		})
 	}
-	answer.Ended = append(answer.Ended, worker.ended...)
+	answer.Ended = append(answer.Ended, worker.ended[:min(len(worker.ended), maxListedEnds)]...)
+	answer.EndsTruncated = len(answer.Ended) == maxListedEnds
 	fakeWorkers.mutex.Unlock()
 	time.Sleep(worker.latency)
 	fakeWorkers.processor.use()
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -109,7 +109,8 @@
 // to start from the beginning.
 func (scheduler *Scheduler) recordRunTime(now time.Time, run *run) {
 	step := run.task.step
-	if step.Estimate <= 0 || run.confirmedAt.IsZero() || run.number > 1 || step.Perpetual {
+	// The end of an unlisted run became known late.
+	if step.Estimate <= 0 || run.phase == phaseUnlisted || run.confirmedAt.IsZero() || run.number > 1 || step.Perpetual {
 		return
 	}
 	ratio := float64(now.Sub(run.placedAt)) / float64(step.Estimate)
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -387,7 +387,7 @@
 func (worker *worker) runCount(step *step) int {
 	count := 0
 	for _, run := range worker.runs {
-		if run.task.step == step {
+		if run.task.step == step && run.phase != phaseUnlisted {
 			count++
 		}
 	}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -215,6 +215,9 @@
 	phaseRunning
 	// phaseStopping means that the run is being stopped.
 	phaseStopping
+	// phaseUnlisted means that the worker does not have the run any more, or never had it, but may not have listed its end
+	// yet. The run takes up no resources.
+	phaseUnlisted
 )
 
 // run is one run of a task.
--- a/internal/cell/scheduler/script_test.go
+++ b/internal/cell/scheduler/script_test.go
@@ -303,14 +303,16 @@
 	return id
 }
 
-// poll simulates a worker's answer to a poll: TASK/RUN is a run in progress, TASK/RUN=OUTCOME one that has ended, and
-// incarnation=N sets the incarnation.
+// poll simulates a worker's answer to a poll: TASK/RUN is a run in progress, TASK/RUN=OUTCOME one that has ended,
+// incarnation=N sets the incarnation, sent=DURATION says how long ago the poll was sent, and truncated that the worker may
+// have more ends than it lists.
 func (script *script) poll(id string, words []string) {
 	answer := describer.PollAnswer{
 		Clock:       script.now.Sub(scriptStart),
 		Incarnation: time.UnixMilli(1),
 	}
 	script.scheduler.PollOrder(script.now, describer.WorkerID(id), true)
+	sent := script.now
 	for _, word := range words {
 		name, value, ended := strings.Cut(word, "=")
 		if name == "incarnation" {
@@ -318,6 +320,18 @@
 			continue
 		}
 		task, run, _ := strings.Cut(name, "/")
+		switch name {
+		case "truncated":
+			answer.EndsTruncated = true
+			continue
+		case "sent":
+			ago, err := time.ParseDuration(value)
+			if err != nil {
+				script.t.Fatalf("%s: %v", script.line, err)
+			}
+			sent = script.now.Add(-ago)
+			continue
+		}
 		if !ended {
 			answer.Running = append(answer.Running, describer.RunStatus{
 				Task: script.task(task),
@@ -333,7 +347,7 @@
 			Outcome: script.outcome(value),
 		})
 	}
-	script.scheduler.PollAnswered(script.now, script.now, describer.WorkerID(id), answer)
+	script.scheduler.PollAnswered(script.now, sent, describer.WorkerID(id), answer)
 }
 
 func (script *script) outcome(name string) describer.Outcome {
--- a/internal/cell/scheduler/suspects.go
+++ b/internal/cell/scheduler/suspects.go
@@ -73,13 +73,13 @@
 }
 
 // noteLoss notes that the worker was lost with its runs, and fails the jobs whose task is to blame. crashed means that it
-// is known to have crashed. Runs that were not ordered yet do not count, nor do those on a worker that was draining,
-// which leaves without a crash.
+// is known to have crashed. Runs that were not ordered yet or are over do not count, nor do those on a worker that was
+// draining, which leaves without a crash.
 func (scheduler *Scheduler) noteLoss(now time.Time, worker *worker, reason string, crashed bool) {
 	var blamed []isolator.Run
 	var tasks []*task
 	for _, run := range worker.runs {
-		if run.phase == phaseIntended || run.blamed {
+		if run.phase == phaseIntended || run.phase == phaseUnlisted || run.blamed {
 			continue
 		}
 		run.blamed = true
@@ -197,7 +197,7 @@
 // starting reports whether the worker has a run whose start it has not survived yet.
 func (worker *worker) starting() bool {
 	for _, run := range worker.runs {
-		if !run.survived {
+		if !run.survived && run.phase != phaseUnlisted {
 			return true
 		}
 	}
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -381,15 +381,15 @@
 			if !run.unansweredAt.IsZero() && !sent.Before(run.unansweredAt) {
 				scheduler.stop(now, run, "start order got no answer")
 			}
-		case phaseRecovered:
+		case phaseRecovered, phaseUnlisted:
 			if run.confirmedAt.IsZero() || run.confirmedAt.Before(sent) {
 				unlisted++
-				scheduler.release(now, run, "run was not started, or ended with the worker's earlier incarnation")
+				scheduler.settleUnlisted(now, run, answer.EndsTruncated, "run was not started, or ended with the worker's earlier incarnation")
 			}
 		case phaseRunning, phaseStopping:
 			if !run.confirmedAt.IsZero() && run.confirmedAt.Before(sent) {
 				unlisted++
-				scheduler.release(now, run, "run is not in the worker's list")
+				scheduler.settleUnlisted(now, run, answer.EndsTruncated, "run is not in the worker's list")
 			}
 		}
 	}
@@ -421,6 +421,9 @@
 	if status.Checkpoint != "" && run.task.active == run {
 		run.task.checkpoint = status.Checkpoint
 	}
+	if run.phase == phaseUnlisted {
+		scheduler.noteRelisted(now, run)
+	}
 	if run.phase == phaseStarting || run.phase == phaseRecovered {
 		run.phase = phaseRunning
 		run.confirmedAt = now
--- a/internal/trial/simulator/simulator.go
+++ b/internal/trial/simulator/simulator.go
@@ -295,8 +295,9 @@
 		return
 	}
 	worker.pollAt = simulation.now.Add(pollWait)
-	simulation.scheduler.PollOrder(simulation.now, worker.id(), true)
-	simulation.scheduler.PollAnswered(simulation.now, simulation.now, worker.id(), worker.list(simulation.now, simulation.now.Sub(simulation.begin)))
+	_, order, _ := simulation.scheduler.PollOrder(simulation.now, worker.id(), true)
+	answer := worker.list(simulation.now, simulation.now.Sub(simulation.begin), order.AcknowledgedEnd)
+	simulation.scheduler.PollAnswered(simulation.now, simulation.now, worker.id(), answer)
 }
 
 // write makes all changed records durable.
--- a/internal/trial/simulator/worker.go
+++ b/internal/trial/simulator/worker.go
@@ -9,15 +9,20 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
+// maxListedEnds is the number of ended runs that a worker lists at a time.
+const maxListedEnds = 500
+
 // worker is a simulated worker in one of its lives.
 type worker struct {
 	index int
 	life  int
 	cores int
 	// runs is nil while the worker is away.
-	runs   map[describer.TaskID]*run
-	ended  []describer.EndedRun
-	backAt time.Time
+	runs  map[describer.TaskID]*run
+	ended []describer.EndedRun
+	// lastEnd is the number of the last end in this life.
+	lastEnd int64
+	backAt  time.Time
 	// pollAt is when the worker answers the next poll, or while it is away when the next poll fails.
 	pollAt time.Time
 	sameID bool
@@ -49,6 +54,7 @@
 	worker.life++
 	worker.runs = map[describer.TaskID]*run{}
 	worker.ended = nil
+	worker.lastEnd = 0
 }
 
 func (worker *worker) incarnation() time.Time {
@@ -79,8 +85,9 @@
 
 // end ends a run and lists it as ended from now on.
 func (worker *worker) end(task describer.TaskID, outcome describer.Outcome, now time.Time) {
+	worker.lastEnd++
 	worker.ended = append(worker.ended, describer.EndedRun{
-		Number:  int64(len(worker.ended) + 1),
+		Number:  worker.lastEnd,
 		Task:    task,
 		Run:     worker.runs[task].number,
 		Outcome: outcome,
@@ -89,12 +96,17 @@
 	worker.pollAt = now
 }
 
-// list returns the answer to a poll.
-func (worker *worker) list(now time.Time, clock time.Duration) describer.PollAnswer {
+// list returns the answer to a poll that acknowledges the ends up to the number acknowledged.
+func (worker *worker) list(now time.Time, clock time.Duration, acknowledged int64) describer.PollAnswer {
+	for len(worker.ended) > 0 && worker.ended[0].Number <= acknowledged {
+		worker.ended = worker.ended[1:]
+	}
+	ended := worker.ended[:min(len(worker.ended), maxListedEnds)]
 	answer := describer.PollAnswer{
-		Clock:       clock,
-		Incarnation: worker.incarnation(),
-		Ended:       worker.ended,
+		Clock:         clock,
+		Incarnation:   worker.incarnation(),
+		Ended:         ended,
+		EndsTruncated: len(ended) == maxListedEnds,
 	}
 	for task, run := range worker.runs {
 		answer.Running = append(answer.Running, describer.RunStatus{
