courier: a message is limited in bytes as well

Cause: a courier puts up to 64 answers into one message, whatever their size. Above 4 MB the leader's gRPC refuses the message and ends the stream, so that all orders on it count as unanswered; the next polls bring the same lists. 64 workers with 500 ends and 24 runs each reach it with checkpoints of 1,000 bytes (PROTOCOL.md gives them no limit).

Change: a message takes at most 1 MB or one answer, and the leader accepts 8 MB, twice the longest list that an instance reads from a worker.

--- a/internal/cell/connector/connector.go
+++ b/internal/cell/connector/connector.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream, err := client.Carry(ctx)
+	stream, err := client.Carry(ctx, grpc.MaxCallRecvMsgSize(courier.MaxMessageBytes))
 	if err != nil {
 		return nil, errors.Wrap(err, "open stream to courier")
 	}
--- a/internal/cell/courier/courier.go
+++ b/internal/cell/courier/courier.go
@@ -20,8 +20,13 @@
 const (
 	// batchInterval is the minimum time between two messages of one direction on a stream.
 	batchInterval = 25 * time.Millisecond
-	// maxBatchItems limits the orders or answers of one message, whose size is limited by gRPC.
+	// maxBatchItems and maxBatchBytes limit the orders or answers of one message. A single answer may be larger: its lists
+	// have no limit but MaxMessageBytes.
 	maxBatchItems = 64
+	maxBatchBytes = 1 << 20
+	// MaxMessageBytes is the size of a message that a leader has to accept. It admits the longest lists that an instance
+	// reads from a worker.
+	MaxMessageBytes = 8 << 20
 	// minWorkers is the number of workers from which a leader uses couriers. Below it a leader calls them itself at
 	// little cost, and saves the way through another instance.
 	minWorkers = 500
--- a/internal/cell/courier/server.go
+++ b/internal/cell/courier/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"pomelomoor/internal/cell/cellpb"
 	"pomelomoor/internal/cell/describer"
@@ -105,7 +106,7 @@
 }
 
 // batch collects items and passes them on together.
-type batch[Item any] struct {
+type batch[Item proto.Message] struct {
 	mutex sync.Mutex
 	items []Item
 	// ready has an element while items has any.
@@ -122,6 +123,18 @@
 	}
 }
 
+// countForMessage returns how many of the first items fit into one message, at least one.
+func countForMessage[Item proto.Message](items []Item) int {
+	size := 0
+	for index, item := range items[:min(len(items), maxBatchItems)] {
+		size += proto.Size(item)
+		if index > 0 && size > maxBatchBytes {
+			return index
+		}
+	}
+	return min(len(items), maxBatchItems)
+}
+
 // run passes the collected items to send, at most every batchInterval, until ctx ends or send fails.
 func (batch *batch[Item]) run(ctx context.Context, send func(items []Item) error) error {
 	for {
@@ -135,7 +148,7 @@
 		batch.items = nil
 		batch.mutex.Unlock()
 		for len(items) > 0 {
-			count := min(len(items), maxBatchItems)
+			count := countForMessage(items)
 			if err := send(items[:count]); err != nil {
 				return err
 			}
