--- a/internal/cell/connector/connector_test.go
+++ b/internal/cell/connector/connector_test.go
@@ -22,8 +22,9 @@
 	return describer.JobRunning, nil
 }
 
-// TestContainedCall guards against a panic in one call of another instance that ends the process.
-func TestContainedCall(t *testing.T) {
+// serve serves calls until the test ends, and returns a connector and the address once it is served.
+func serve(t *testing.T, workers describer.Workers) (*Connector, netip.AddrPort) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -32,15 +33,19 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		// The test ends it.
-		_ = Serve(ctx, address, faultyLeader{}, nil, nil, nil)
+		_ = Serve(ctx, address, faultyLeader{}, nil, nil, workers)
 	}()
 	connector, closeConnector := New()
-	defer closeConnector()
+	t.Cleanup(func() {
+		closeConnector()
+		cancel()
+		<-done
+	})
 	callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
 	defer cancelCall()
 	var state describer.JobState
@@ -51,12 +56,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := connector.State(callCtx, address, "bad"); err == nil {
+	return connector, address
+}
+
+// TestContainedCall guards against a panic in one call of another instance that ends the process.
+func TestContainedCall(t *testing.T) {
+	connector, address := serve(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := connector.State(ctx, address, "bad"); err == nil {
 		t.Error("a call that panicked was answered")
 	}
-	if state, err := connector.State(callCtx, address, "good"); err != nil || state != describer.JobRunning {
+	if state, err := connector.State(ctx, address, "good"); err != nil || state != describer.JobRunning {
 		t.Errorf("after the panic: %s, %v", state, err)
 	}
-	cancel()
-	<-done
 }
--- a/internal/cell/connector/lists_test.go
+++ b/internal/cell/connector/lists_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -84,31 +82,11 @@
 // and one message with the answers of many was larger than its receiver takes, which ended the stream of the courier each
 // time.
 func TestLongLists(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := netip.MustParseAddrPort(listener.Addr().String())
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	served := make(chan struct{})
 	workers := &listingWorkers{}
 	workers.polls.Add(listedWorkers)
-	go func() {
-		defer close(served)
-		// The test ends it.
-		_ = Serve(ctx, address, faultyLeader{}, nil, nil, workers)
-	}()
-	connector, closeConnector := New()
-	defer closeConnector()
-	callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
-	defer cancelCall()
-	for state := describer.JobUnknown; callCtx.Err() == nil && state != describer.JobRunning; {
-		// The server may not listen yet.
-		state, _ = connector.State(callCtx, address, "good")
-	}
+	connector, address := serve(t, workers)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
 	orders, closeOrders := courier.New(ctx, courier.Options{
 		Direct: noWorkers{},
 		Open:   connector.Carry,
@@ -118,26 +96,22 @@
 	orders.SetInstances([]courier.Instance{{
 		Address: address,
 	}})
-	warmUp := describer.Target{
-		Worker: &describer.Worker{
-			ID:      "warm-up",
-			Address: address,
-		},
+	target := func(id string) describer.Target {
+		return describer.Target{
+			Worker: &describer.Worker{
+				ID:      describer.WorkerID(id),
+				Address: address,
+			},
+		}
 	}
-	for callCtx.Err() == nil && orders.Stop(callCtx, warmUp, describer.StopOrder{}) != nil {
+	for ctx.Err() == nil && orders.Stop(ctx, target("warm-up"), describer.StopOrder{}) != nil {
 		// The stream may not be open yet.
 		time.Sleep(time.Millisecond)
 	}
 	var polls sync.WaitGroup
 	for index := range listedWorkers {
 		polls.Go(func() {
-			target := describer.Target{
-				Worker: &describer.Worker{
-					ID:      describer.WorkerID(fmt.Sprint(index)),
-					Address: address,
-				},
-			}
-			answer, err := orders.Poll(callCtx, target, describer.PollOrder{
+			answer, err := orders.Poll(ctx, target(fmt.Sprint(index)), describer.PollOrder{
 				Wait: 5 * time.Second,
 			})
 			if err != nil || len(answer.Ended) != listedEnds || len(answer.Running) != listedRuns {
@@ -146,6 +120,4 @@
 		})
 	}
 	polls.Wait()
-	cancel()
-	<-served
 }
--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -185,6 +185,26 @@
 	return nil
 }
 
+// removeExpired removes ended jobs and their records after the retention period. A job whose last record is not stored yet
+// stays: without it, and with the description that goes with it, the next leader would take the job for a new one.
+func (scheduler *Scheduler) removeExpired(now time.Time) {
+	keep := scheduler.options.StatusRetention + retentionMargin
+	var unstored []*job
+	for len(scheduler.ended) > 0 && now.Sub(scheduler.ended[0].endedAt) > keep {
+		job := scheduler.ended[0]
+		scheduler.ended = scheduler.ended[1:]
+		if job.storedGeneration < job.generation {
+			unstored = append(unstored, job)
+			continue
+		}
+		delete(scheduler.jobs, job.ID)
+		scheduler.dirty[job.ID] = struct{}{}
+	}
+	if len(unstored) > 0 {
+		scheduler.ended = append(unstored, scheduler.ended...)
+	}
+}
+
 // SetAside drops what was restored of a job whose stored state cannot be used. Its record stays as it is.
 func (scheduler *Scheduler) SetAside(id describer.JobID) {
 	scheduler.setAside[id] = true
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -42,27 +42,6 @@
 	scheduler.changed = true
 }
 
-// settleUnlisted handles a run that is in neither list of its worker, so that it has ended or never began. While the list
-// of ends is truncated its end may not be listed yet, and its task waits for it. A lasting task does not, since it runs
-// again however it ended.
-func (scheduler *Scheduler) settleUnlisted(now time.Time, run *run, truncated bool, reason string) {
-	switch {
-	case !truncated || run.task.step.Perpetual:
-		scheduler.release(now, run, reason)
-	case run.phase != phaseUnlisted:
-		scheduler.freeResources(run)
-		run.phase = phaseUnlisted
-	}
-}
-
-// noteRelisted handles a run that a worker lists as running after it was in neither list: the answer was overtaken by the
-// other one, or a late order started the run on a new incarnation. It is stopped, since it may have ended before.
-func (scheduler *Scheduler) noteRelisted(now time.Time, run *run) {
-	run.worker.used = run.worker.used.Add(run.task.step.Occupied())
-	run.phase = phaseRunning
-	scheduler.stop(now, run, "run is listed again after its end")
-}
-
 // release ends a run that has no outcome, and enqueues its task again.
 func (scheduler *Scheduler) release(now time.Time, run *run, reason string) {
 	scheduler.emit(Event{
