cell: organisations with keys and caps

Change: platform/ digests the key of a call; the configuration holds digests, organisations, weights and caps; the admitter identifies the caller, and a job belongs to its organisation; the scheduler charges each run to an account (package accountant) and starts nothing beyond a cap. A gang that the cap can never hold is rejected at once.

--- a/internal/cell/admitter/admitter.go
+++ b/internal/cell/admitter/admitter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"pomelomoor/internal/cell/refresher"
 	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
+	"pomelomoor/internal/placement/accountant"
 )
 
 const (
@@ -35,6 +37,9 @@
 	// configRetryAfter is the retry delay of a caller that is rejected because the configuration is not known. It is the
 	// shortest that HTTP can tell.
 	configRetryAfter = time.Second
+	// capRetryAfter is the retry delay of a job that the cap of its organisation has no room for. Operators raise caps, so
+	// that a try pays only after a while.
+	capRetryAfter = 30 * time.Second
 )
 
 // Store is the subset of describer.Store that an Admitter uses.
@@ -57,8 +62,13 @@
 	Reachable func() bool
 	// Leader returns the address of the leader, or an invalid address if there is no leader.
 	Leader func() netip.AddrPort
+	// FailClosed returns whether calls with a key are rejected while the configuration is not confirmed, so that a key that
+	// was removed meanwhile is of no use. If it is not set, callers learn the states of their jobs all the same.
+	FailClosed func() bool
+	// CapOverage, if set, returns the share by which a gang may exceed the cap of its organisation.
+	CapOverage func() float64
 	// State and Pending query the leader at an address.
-	State   func(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error)
+	State   func(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobStatus, error)
 	Pending func(ctx context.Context, address netip.AddrPort, queue string) (int, error)
 	// Announce, if set, notifies the leader at an address of a stored job or cancellation.
 	Announce func(ctx context.Context, address netip.AddrPort, job []byte, cancelled describer.JobID) error
@@ -79,7 +89,9 @@
 	State describer.JobState
 	// Config tells how up to date the current configuration is at the end of the call.
 	Config refresher.Freshness
-	// Outcome is Done, Rejected, NoJob, NoQueue or Uncertain. Err is the error unless it is Done.
+	// Organisation is the one that made the call; empty if it needs no key.
+	Organisation string
+	// Outcome is Done, Rejected, NoJob, NoQueue, NoKey, OtherJob or Uncertain. Err is the error unless it is Done.
 	Outcome string
 	Err     error
 	Took    time.Duration
@@ -115,14 +127,14 @@
 // Route returns the route of a call by the current configuration. While that is not confirmed, a call without a route is
 // rejected but not refused for good, since its route may have been added meanwhile, and jobs are stored on the condition
 // that it is still the newest. Other calls are served: those who ask for their jobs are better off with an answer.
-func (admitter *Admitter) Route(ctx context.Context, host, path string) (route describer.Route, err error) {
+func (admitter *Admitter) Route(ctx context.Context, call describer.Call) (route describer.Route, err error) {
 	start := time.Now()
 	defer func() {
 		if err != nil {
 			admitter.reportCall(CallResult{
 				Call: "Route",
-				Host: host,
-				Path: path,
+				Host: call.Host,
+				Path: call.Path,
 			}, start, err)
 		}
 	}()
@@ -133,15 +145,25 @@
 	if config == nil {
 		return describer.Route{}, rejectedForConfig("no configuration yet")
 	}
-	queue, rest := config.Match(host, path)
+	queue, rest := config.Match(call.Host, call.Path)
 	switch {
 	case queue == nil && confirmed:
 		return describer.Route{}, describer.ErrNoQueue
 	case queue == nil:
 		return describer.Route{}, rejectedForConfig("no such queue in a configuration that may have been replaced")
 	}
+	organisation, err := config.Identify(queue, call)
+	switch {
+	case confirmed && err != nil:
+		return describer.Route{}, err
+	case err != nil:
+		return describer.Route{}, rejectedForConfig("unknown key in a configuration that may have been replaced")
+	case !confirmed && organisation != "" && admitter.failsClosed():
+		return describer.Route{}, rejectedForConfig("keys are in a configuration that may have been replaced")
+	}
 	route = describer.Route{
 		Queue:        queue,
+		Organisation: organisation,
 		Rest:         rest,
 		MaxBodyBytes: config.MaxBodyBytes,
 	}
@@ -151,6 +173,10 @@
 	return route, nil
 }
 
+func (admitter *Admitter) failsClosed() bool {
+	return admitter.options.FailClosed != nil && admitter.options.FailClosed()
+}
+
 func rejectedForConfig(reason string) error {
 	return &describer.RejectedError{
 		Reason:     reason,
@@ -176,6 +202,10 @@
 		result.Outcome = "NoJob"
 	case errors.Is(err, describer.ErrNoQueue):
 		result.Outcome = "NoQueue"
+	case errors.Is(err, describer.ErrUnknownKey):
+		result.Outcome = "NoKey"
+	case errors.Is(err, describer.ErrOtherJob):
+		result.Outcome = "OtherJob"
 	default:
 		result.Outcome = "Uncertain"
 	}
@@ -186,15 +216,20 @@
 func (admitter *Admitter) Submit(ctx context.Context, route describer.Route, job *describer.Job) (err error) {
 	start := time.Now()
 	job.Queue = route.Queue.Name
+	job.Organisation = route.Organisation
 	// A later leader needs the policy if the queue has been removed by then.
 	job.Policy = &route.Queue.Policy
 	defer func() {
 		admitter.reportCall(CallResult{
-			Call:  "Submit",
-			Job:   job.ID,
-			Queue: job.Queue,
+			Call:         "Submit",
+			Job:          job.ID,
+			Queue:        job.Queue,
+			Organisation: job.Organisation,
 		}, start, err)
 	}()
+	if err := admitter.checkCap(route.Organisation, job); err != nil {
+		return err
+	}
 	job.Submitted = start
 	value, err := json.Marshal(job)
 	if err != nil {
@@ -229,7 +264,7 @@
 			return rejectedForConfig("configuration has changed")
 		}
 		// The job was already stored, by an earlier attempt of this call or by an earlier call.
-		return nil
+		return checkOwner(route.Organisation, conflict)
 	}
 	if err == nil {
 		admitter.announce(value, "")
@@ -237,6 +272,55 @@
 	return err
 }
 
+// checkCap rejects a job with a gang that the cap of its organisation never leaves room for. Its caller learns so at once,
+// since the gang would wait until a configuration raises the cap.
+func (admitter *Admitter) checkCap(name string, job *describer.Job) error {
+	organisation := admitter.options.Config().Organisation(name)
+	if organisation == nil {
+		return nil
+	}
+	account := accountant.Account{
+		Cap: organisation.Cap,
+	}
+	if admitter.options.CapOverage != nil {
+		account.Overage = admitter.options.CapOverage()
+	}
+	for index := range job.Steps {
+		step := &job.Steps[index]
+		if step.Gang && !account.CanEverHold(step.Needs, step.Count) {
+			return &describer.RejectedError{
+				Reason:     fmt.Sprintf("step %d is a gang that is wider than the cap of its organisation", index),
+				RetryAfter: capRetryAfter,
+				Overload:   true,
+			}
+		}
+	}
+	return nil
+}
+
+// checkOwner returns ErrOtherJob if the job that is in the store under the ID of a submission belongs to an organisation
+// that the caller is not of.
+func checkOwner(organisation string, conflict *describer.ConflictError) error {
+	for _, item := range conflict.Items {
+		if owner := ownerOf(item.Value); !describer.MaySee(organisation, owner) {
+			return describer.ErrOtherJob
+		}
+	}
+	return nil
+}
+
+// ownerOf returns the organisation of a stored job or record; empty if it has none or is neither.
+func ownerOf(value []byte) string {
+	var stored struct {
+		Organisation string
+	}
+	if json.Unmarshal(value, &stored) != nil {
+		// Whoever uses the entry reports that it cannot be read.
+		return ""
+	}
+	return stored.Organisation
+}
+
 // announce notifies the leader of a job or a cancellation in the background. The leader also watches the
 // store, so a lost announcement only causes a delay.
 func (admitter *Admitter) announce(job []byte, cancelled describer.JobID) {
@@ -286,42 +370,62 @@
 }
 
 // State returns the state of a job from the leader, or from the store if the leader cannot be reached or
-// does not know the job.
-func (admitter *Admitter) State(ctx context.Context, id describer.JobID) (state describer.JobState, err error) {
+// does not know the job. A job of another organisation counts as unknown.
+func (admitter *Admitter) State(ctx context.Context, route describer.Route, id describer.JobID) (state describer.JobState, err error) {
 	start := time.Now()
 	defer func() {
 		admitter.reportCall(CallResult{
-			Call:  "State",
-			Job:   id,
-			State: state,
+			Call:         "State",
+			Job:          id,
+			State:        state,
+			Organisation: route.Organisation,
 		}, start, err)
 	}()
 	if leader := admitter.options.Leader(); leader.IsValid() {
 		callCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-		state, err := admitter.options.State(callCtx, leader, id)
+		status, err := admitter.options.State(callCtx, leader, id)
 		cancel()
-		if err == nil && state != describer.JobUnknown {
-			return state, nil
+		if err == nil && status.State != describer.JobUnknown {
+			return seenBy(route.Organisation, status.Organisation, status.State)
 		}
 	}
-	return admitter.stateFromStore(ctx, id)
+	return admitter.stateFromStore(ctx, route.Organisation, id)
+}
+
+// seenBy returns state, or ErrNoJob if callers of organisation may not see a job of owner.
+func seenBy(organisation, owner string, state describer.JobState) (describer.JobState, error) {
+	if !describer.MaySee(organisation, owner) {
+		return describer.JobUnknown, describer.ErrNoJob
+	}
+	return state, nil
 }
 
 // stateFromStore reads the state of a job from the store. A job without a record is queued.
-func (admitter *Admitter) stateFromStore(ctx context.Context, id describer.JobID) (describer.JobState, error) {
+func (admitter *Admitter) stateFromStore(ctx context.Context, organisation string, id describer.JobID) (describer.JobState, error) {
 	item, err := admitter.read(ctx, persister.RecordPrefix+string(id))
 	switch {
 	case err == nil:
 		// The error is logged with the answer to the caller.
 		jobRecord, err := scheduler.ParseRecord(item.Value)
-		return jobRecord.State, err
+		if err != nil {
+			return describer.JobUnknown, err
+		}
+		if jobRecord.State.Final() || organisation == "" {
+			return seenBy(organisation, jobRecord.Organisation, jobRecord.State)
+		}
+		// Only the description of a job that goes on tells whose it is.
+		description, err := admitter.read(ctx, persister.JobPrefix+string(id))
+		if err != nil && !errors.Is(err, describer.ErrNotFound) {
+			return describer.JobUnknown, err
+		}
+		return seenBy(organisation, ownerOf(description.Value), jobRecord.State)
 	case !errors.Is(err, describer.ErrNotFound):
 		return describer.JobUnknown, err
 	}
-	_, err = admitter.read(ctx, persister.JobPrefix+string(id))
+	description, err := admitter.read(ctx, persister.JobPrefix+string(id))
 	switch {
 	case err == nil:
-		return describer.JobQueued, nil
+		return seenBy(organisation, ownerOf(description.Value), describer.JobQueued)
 	case errors.Is(err, describer.ErrNotFound):
 		return describer.JobUnknown, describer.ErrNoJob
 	default:
@@ -344,25 +448,29 @@
 	}
 }
 
-// Cancel stores a cancellation. The leader then cancels the job.
-func (admitter *Admitter) Cancel(ctx context.Context, id describer.JobID) (err error) {
+// Cancel stores a cancellation. The leader then cancels the job. A job of another organisation counts as unknown.
+func (admitter *Admitter) Cancel(ctx context.Context, route describer.Route, id describer.JobID) (err error) {
 	start := time.Now()
 	defer func() {
 		admitter.reportCall(CallResult{
-			Call: "Cancel",
-			Job:  id,
+			Call:         "Cancel",
+			Job:          id,
+			Organisation: route.Organisation,
 		}, start, err)
 	}()
 	key := persister.JobPrefix + string(id)
 	for {
 		job, err := admitter.read(ctx, key)
 		if errors.Is(err, describer.ErrNotFound) {
-			return admitter.checkEnded(ctx, id)
+			return admitter.checkEnded(ctx, route.Organisation, id)
 		}
 		if err != nil {
 			return err
 		}
-		err = admitter.commit(ctx, describer.Change{
+		if !describer.MaySee(route.Organisation, ownerOf(job.Value)) {
+			return describer.ErrNoJob
+		}
+		change := describer.Change{
 			Expect: []describer.Expectation{{
 				Key:      key,
 				Revision: job.Revision,
@@ -371,7 +479,12 @@
 				Key:   persister.CancelPrefix + string(id),
 				Value: []byte("{}"),
 			}},
-		})
+		}
+		if route.Condition != nil && route.Organisation != "" {
+			// The key may have been removed.
+			change.Expect = append(change.Expect, *route.Condition)
+		}
+		err = admitter.commit(ctx, change)
 		var conflict *describer.ConflictError
 		if err == nil {
 			admitter.announce(nil, id)
@@ -379,14 +492,18 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
+		if conflict.Revision(key) == job.Revision {
+			return rejectedForConfig("configuration has changed")
+		}
 		// The job ended after its description was read.
 	}
 }
 
-// checkEnded returns nil if the job has a record, that is, if it has ended, and ErrNoJob if it is unknown.
-func (admitter *Admitter) checkEnded(ctx context.Context, id describer.JobID) error {
-	_, err := admitter.read(ctx, persister.RecordPrefix+string(id))
-	if errors.Is(err, describer.ErrNotFound) {
+// checkEnded returns nil if the job has a record, that is, if it has ended, and ErrNoJob if it is unknown or belongs to
+// another organisation.
+func (admitter *Admitter) checkEnded(ctx context.Context, organisation string, id describer.JobID) error {
+	record, err := admitter.read(ctx, persister.RecordPrefix+string(id))
+	if errors.Is(err, describer.ErrNotFound) || err == nil && !describer.MaySee(organisation, ownerOf(record.Value)) {
 		return describer.ErrNoJob
 	}
 	return err
--- a/internal/cell/admitter/admitter_test.go
+++ b/internal/cell/admitter/admitter_test.go
@@ -179,15 +179,15 @@
 		"done":    describer.JobCompleted,
 	}
 	for id, want := range tests {
-		if state, err := admitter.State(context.Background(), id); state != want || err != nil {
+		if state, err := admitter.State(context.Background(), describer.Route{}, id); state != want || err != nil {
 			t.Errorf("%s: state %v, error %v, want %v", id, state, err, want)
 		}
 	}
-	if _, err := admitter.State(context.Background(), "none"); !errors.Is(err, describer.ErrNoJob) {
+	if _, err := admitter.State(context.Background(), describer.Route{}, "none"); !errors.Is(err, describer.ErrNoJob) {
 		t.Errorf("unknown job: %v", err)
 	}
 	store.readErr = describer.ErrNoEffect
-	if _, err := newAdmitter(store, false).State(context.Background(), "done"); errors.Is(err, describer.ErrNoJob) || err == nil {
+	if _, err := newAdmitter(store, false).State(context.Background(), describer.Route{}, "done"); errors.Is(err, describer.ErrNoJob) || err == nil {
 		t.Errorf("state while the store is unreachable: %v", err)
 	}
 }
--- a/internal/cell/admitter/config_test.go
+++ b/internal/cell/admitter/config_test.go
@@ -66,7 +66,10 @@
 			config:      test.config,
 			unconfirmed: test.unconfirmed,
 		}, true)
-		route, err := admitter.Route(context.Background(), "host", test.path)
+		route, err := admitter.Route(context.Background(), describer.Call{
+			Host: "host",
+			Path: test.path,
+		})
 		var rejected *describer.RejectedError
 		if isRejected := errors.As(err, &rejected); isRejected != test.rejected || !isRejected && !errors.Is(err, test.want) {
 			t.Errorf("%s: error %v, want %v, rejected %v", test.name, err, test.want, test.rejected)
--- a/internal/cell/admitter/record_test.go
+++ b/internal/cell/admitter/record_test.go
@@ -16,7 +16,7 @@
 				"record/odd": record,
 			},
 		}
-		state, err := newAdmitter(store, true).State(context.Background(), "odd")
+		state, err := newAdmitter(store, true).State(context.Background(), describer.Route{}, "odd")
 		if err == nil || state != describer.JobUnknown {
 			t.Errorf("%s: state %s, error %v; want an error", record, state, err)
 		}
--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -131,7 +131,7 @@
 		Store:       instance.store,
 		Commit:      instance.relayer.HedgedCommit,
 		Key:         platform.ConfigKey,
-		Parse:       platform.ParseConfig,
+		Parse:       instance.parseConfig,
 		ApplyTime:   instance.configApplyTime,
 		OnConfig:    instance.configChanged,
 		OnStoreCall: instance.relayer.RecordOutcome,
@@ -149,6 +149,12 @@
 		Pending:           instance.queryPending,
 		Announce:          instance.announce,
 		OnCall:            instance.observer.CallAnswered,
+		FailClosed: func() bool {
+			return instance.bounds().FailClosed
+		},
+		CapOverage: func() float64 {
+			return instance.bounds().CapOverage
+		},
 	})
 	instance.elector = elector.New(elector.Options{
 		Store: instance.store,
@@ -312,11 +318,26 @@
 	}
 }
 
-// configApplyTime returns the time in which a configuration has to be in force everywhere.
-func (instance *Instance) configApplyTime() time.Duration {
+// parseConfig parses a configuration. The settings may require keys although it names no organisations.
+func (instance *Instance) parseConfig(document []byte) (*describer.Config, error) {
+	config, err := platform.ParseConfig(document)
+	if err != nil {
+		return nil, err
+	}
+	config.KeysRequired = config.KeysRequired || instance.settings.KeysRequired
+	return config, nil
+}
+
+// bounds returns the bounds of the settings in force.
+func (instance *Instance) bounds() platform.Bounds {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
-	return instance.settings.Bounds.ConfigApplyTime
+	return instance.settings.Bounds
+}
+
+// configApplyTime returns the time in which a configuration has to be in force everywhere.
+func (instance *Instance) configApplyTime() time.Duration {
+	return instance.bounds().ConfigApplyTime
 }
 
 func (instance *Instance) currentLeader() *leader.Leader {
@@ -336,9 +357,7 @@
 	}
 	// A configuration that stays unconfirmed leads too: no start waits longer for it than the store is away.
 	_ = instance.refresher.Confirmed(ctx)
-	instance.mutex.Lock()
-	bounds := instance.settings.Bounds
-	instance.mutex.Unlock()
+	bounds := instance.bounds()
 	carried, closeCourier := courier.New(ctx, courier.Options{
 		Direct: instance.acknowledger(),
 		Open:   instance.connector.Carry,
@@ -353,6 +372,7 @@
 			StatusRetention:  bounds.StatusRetention,
 			RemoteFactor:     bounds.RemoteFactor,
 			InheritedRenewal: elector.MaxInheritedRenewal,
+			CapOverage:       bounds.CapOverage,
 		},
 		WorkerPrefix:  platform.WorkerPrefix,
 		ParseWorker:   platform.ParseWorker,
@@ -470,13 +490,13 @@
 }
 
 // State implements connector.LeaderHandler.
-func (instance *Instance) State(id describer.JobID) (describer.JobState, error) {
+func (instance *Instance) State(id describer.JobID) (describer.JobStatus, error) {
 	if leader := instance.currentLeader(); leader != nil {
-		if state, known := leader.State(id); known {
-			return state, nil
+		if status, known := leader.State(id); known {
+			return status, nil
 		}
 	}
-	return describer.JobUnknown, connector.ErrNotLeader
+	return describer.JobStatus{}, connector.ErrNotLeader
 }
 
 // Pending implements connector.LeaderHandler.
@@ -504,7 +524,7 @@
 	return instance.connector.Announce(ctx, address, job, cancelled)
 }
 
-func (instance *Instance) queryState(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error) {
+func (instance *Instance) queryState(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobStatus, error) {
 	if address == instance.settings.Peer {
 		return instance.State(id)
 	}
--- a/internal/cell/connector/connector.go
+++ b/internal/cell/connector/connector.go
@@ -35,7 +35,7 @@
 // LeaderHandler handles the calls that only the leader can answer. Its methods return ErrNotLeader if the instance
 // is not the leader.
 type LeaderHandler interface {
-	State(id describer.JobID) (describer.JobState, error)
+	State(id describer.JobID) (describer.JobStatus, error)
 	Pending(queue string) (int, error)
 	// Announce receives a stored job, or the ID of a job whose cancellation was stored.
 	Announce(job []byte, cancelled describer.JobID) error
@@ -104,12 +104,13 @@
 
 // State implements cellpb.CellServer.
 func (server *server) State(_ context.Context, request *cellpb.StateRequest) (*cellpb.StateReply, error) {
-	state, err := server.leader.State(describer.JobID(request.GetJob()))
+	status, err := server.leader.State(describer.JobID(request.GetJob()))
 	if err != nil {
 		return nil, unavailableError(err)
 	}
 	return &cellpb.StateReply{
-		State: int32(state),
+		State:        int32(status.State),
+		Organisation: status.Organisation,
 	}, nil
 }
 
@@ -164,19 +165,22 @@
 	return courier.Serve(stream, server.workers)
 }
 
-// State returns the state of a job from the leader at address.
-func (connector *Connector) State(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobState, error) {
+// State returns the status of a job from the leader at address.
+func (connector *Connector) State(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobStatus, error) {
 	client, err := connector.client(address)
 	if err != nil {
-		return describer.JobUnknown, err
+		return describer.JobStatus{}, err
 	}
 	reply, err := client.State(ctx, &cellpb.StateRequest{
 		Job: string(id),
 	})
 	if err != nil {
-		return describer.JobUnknown, errors.Wrap(err, "query job state from leader")
+		return describer.JobStatus{}, errors.Wrap(err, "query job state from leader")
 	}
-	return describer.JobState(reply.GetState()), nil
+	return describer.JobStatus{
+		State:        describer.JobState(reply.GetState()),
+		Organisation: reply.GetOrganisation(),
+	}, nil
 }
 
 // Pending returns the number of jobs of a queue that have not started, from the leader at address.
--- a/internal/cell/connector/connector_test.go
+++ b/internal/cell/connector/connector_test.go
@@ -15,11 +15,14 @@
 	LeaderHandler
 }
 
-func (faultyLeader) State(id describer.JobID) (describer.JobState, error) {
+func (faultyLeader) State(id describer.JobID) (describer.JobStatus, error) {
 	if id == "bad" {
 		panic("fault")
 	}
-	return describer.JobRunning, nil
+	return describer.JobStatus{
+		State:        describer.JobRunning,
+		Organisation: "customer",
+	}, nil
 }
 
 // serve serves calls until the test ends, and returns a connector and the address once it is served.
@@ -48,10 +51,10 @@
 	})
 	callCtx, cancelCall := context.WithTimeout(ctx, 10*time.Second)
 	defer cancelCall()
-	var state describer.JobState
-	for callCtx.Err() == nil && state != describer.JobRunning {
+	var status describer.JobStatus
+	for callCtx.Err() == nil && status.State != describer.JobRunning {
 		// The server may not listen yet.
-		state, err = connector.State(callCtx, address, "good")
+		status, err = connector.State(callCtx, address, "good")
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -67,7 +70,7 @@
 	if _, err := connector.State(ctx, address, "bad"); err == nil {
 		t.Error("a call that panicked was answered")
 	}
-	if state, err := connector.State(ctx, address, "good"); err != nil || state != describer.JobRunning {
-		t.Errorf("after the panic: %s, %v", state, err)
+	if status, err := connector.State(ctx, address, "good"); err != nil || status.State != describer.JobRunning || status.Organisation != "customer" {
+		t.Errorf("after the panic: %+v, %v", status, err)
 	}
 }
--- a/internal/cell/connector/silent_test.go
+++ b/internal/cell/connector/silent_test.go
@@ -161,8 +161,8 @@
 			if took := time.Since(start); took > 2*time.Second {
 				t.Errorf("the call took %s, want at most 2s", took)
 			}
-			if state, err := connector.State(ctx, pathAddress, "good"); err != nil || state != describer.JobRunning {
-				t.Errorf("next call: %s, %v", state, err)
+			if status, err := connector.State(ctx, pathAddress, "good"); err != nil || status.State != describer.JobRunning {
+				t.Errorf("next call: %+v, %v", status, err)
 			}
 			if count := len(replaced); count != test.replaced {
 				t.Errorf("the connection was replaced %d times, want %d", count, test.replaced)
--- a/internal/cell/describer/callers.go
+++ b/internal/cell/describer/callers.go
@@ -30,12 +30,14 @@
 // Route is where a call goes.
 type Route struct {
 	Queue *Queue
+	// Organisation is the name of the organisation that makes the call; empty if the call needs no key.
+	Organisation string
 	// Rest is the path after the prefix of the queue.
 	Rest string
 	// MaxBodyBytes is the largest accepted request body; 0 means no limit.
 	MaxBodyBytes int64
-	// Condition, if set, has to hold when a job of the call is stored, since the configuration that chose the queue was not
-	// confirmed.
+	// Condition, if set, has to hold when a job of the call or its cancellation is stored, since the configuration that
+	// chose the queue was not confirmed.
 	Condition *Expectation
 }
 
@@ -43,14 +45,16 @@
 type Frontend interface {
 	// Ready reports whether the instance accepts new connections.
 	Ready() bool
-	// Route returns the route of a call by its host name and path. The error is ErrNoQueue or a RejectedError.
-	Route(ctx context.Context, host, path string) (Route, error)
-	// Submit stores a job in the queue of a route. After a RejectedError the job never runs; after ErrUncertain it may run.
+	// Route returns the route of a call. The error is ErrNoQueue, ErrUnknownKey or a RejectedError.
+	Route(ctx context.Context, call Call) (Route, error)
+	// Submit stores a job in the queue of a route. After a RejectedError or ErrOtherJob the job never runs; after
+	// ErrUncertain it may run.
 	Submit(ctx context.Context, route Route, job *Job) error
-	// State returns the state of a job or ErrNoJob.
-	State(ctx context.Context, id JobID) (JobState, error)
-	// Cancel cancels a job. The error is ErrNoJob, a RejectedError or ErrUncertain.
-	Cancel(ctx context.Context, id JobID) error
+	// State returns the state of a job or ErrNoJob, also for a job that the route's organisation may not see.
+	State(ctx context.Context, route Route, id JobID) (JobState, error)
+	// Cancel cancels a job. The error is ErrNoJob, also for a job that the route's organisation may not see, a
+	// RejectedError or ErrUncertain.
+	Cancel(ctx context.Context, route Route, id JobID) error
 	// Pending returns the number of jobs of a queue that have not started.
 	Pending(ctx context.Context, queue string) (int, error)
 }
--- a/internal/cell/describer/check.go
+++ b/internal/cell/describer/check.go
@@ -21,6 +21,8 @@
 	maxIDLength = 128
 	// MaxSlackFactor limits the slack factor of a queue, so that the latency objective can be computed.
 	MaxSlackFactor = 1 << 20
+	// MaxWeight limits the weight of an organisation, so that shares can be computed.
+	MaxWeight = 1 << 30
 )
 
 // CheckID returns an error if id cannot be that of a job. The names of tasks consist of IDs and dots.
--- a/internal/cell/describer/job.go
+++ b/internal/cell/describer/job.go
@@ -75,6 +75,8 @@
 	Interval time.Duration `json:",omitempty"`
 	// Policy is the policy of the queue when the job was accepted. Jobs of earlier versions have none.
 	Policy *Policy `json:",omitempty"`
+	// Organisation is the name of the organisation whose key the submission carried; empty if it needed none.
+	Organisation string `json:",omitempty"`
 }
 
 // Occurrences returns how many times the steps of the job run.
@@ -163,6 +165,8 @@
 	// Host and Prefix are the host name and path prefix of the calls that the queue serves.
 	Host   string
 	Prefix string
+	// Public means that calls need no key.
+	Public bool
 }
 
 // Config is the operators' configuration.
@@ -177,6 +181,11 @@
 	StandbyServices map[string]bool
 	// MaxBodyBytes is the largest accepted request body, in bytes.
 	MaxBodyBytes int64
+	// KeysRequired means that calls to queues that are not public need a key. Keys holds the name of the organisation of
+	// each key.
+	KeysRequired  bool
+	Organisations []Organisation
+	Keys          map[KeyDigest]string
 }
 
 // Queue returns the queue with the given name, or nil.
--- a/internal/cell/leader/contain_test.go
+++ b/internal/cell/leader/contain_test.go
@@ -47,7 +47,7 @@
 	leader.add(time.Now(), &describer.Job{
 		ID: "a",
 	})
-	if state, _ := leader.State("a"); state != describer.JobUnknown {
-		t.Errorf("job with a bad record is %s, want it to be set aside", state)
+	if status, _ := leader.State("a"); status.State != describer.JobUnknown {
+		t.Errorf("job with a bad record is %s, want it to be set aside", status.State)
 	}
 }
--- a/internal/cell/leader/inbox_test.go
+++ b/internal/cell/leader/inbox_test.go
@@ -62,7 +62,8 @@
 		leader.handleInbox(t.Context(), items, false)
 		leader.restore(time.Now(), leader.records, nil, items)
 		for _, id := range []describer.JobID{"a1", "a2", "a1.0", ""} {
-			state, _ := leader.State(id)
+			status, _ := leader.State(id)
+			state := status.State
 			if want := entry.Readable && id == "a1"; (state != describer.JobUnknown) != want {
 				t.Errorf("%s: job %q is %s", entry.Name, id, state)
 			}
@@ -71,8 +72,8 @@
 			t.Errorf("%s: unreadable entries %v", entry.Name, observer.keys)
 		}
 		announced := leader.Announce(entry.Job, "")
-		if state, _ := leader.State("a1"); !announced || (state != describer.JobUnknown) != entry.Readable && entry.Name != "ID of another job" {
-			t.Errorf("%s: announced job is %s", entry.Name, state)
+		if status, _ := leader.State("a1"); !announced || (status.State != describer.JobUnknown) != entry.Readable && entry.Name != "ID of another job" {
+			t.Errorf("%s: announced job is %s", entry.Name, status.State)
 		}
 	}
 }
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -347,15 +347,18 @@
 	}
 }
 
-// State returns the state of a job. It returns false while the state of the cell is being loaded.
-func (leader *Leader) State(id describer.JobID) (describer.JobState, bool) {
+// State returns the status of a job. It returns false while the state of the cell is being loaded.
+func (leader *Leader) State(id describer.JobID) (describer.JobStatus, bool) {
 	leader.mutex.Lock()
 	defer leader.mutex.Unlock()
 	if leader.scheduler == nil {
-		return describer.JobUnknown, false
+		return describer.JobStatus{}, false
 	}
 	leader.meter.load.Queries++
-	return leader.scheduler.State(id), true
+	return describer.JobStatus{
+		State:        leader.scheduler.State(id),
+		Organisation: leader.scheduler.Organisation(id),
+	}, true
 }
 
 // Pending returns the number of jobs in a queue that have not started. It returns false while the state of
--- a/internal/cell/leader/simulation_test.go
+++ b/internal/cell/leader/simulation_test.go
@@ -338,7 +338,8 @@
 		if !job.ended.IsZero() {
 			continue
 		}
-		state, _ := simulation.leader.State(job.id)
+		status, _ := simulation.leader.State(job.id)
+		state := status.State
 		if state.Final() {
 			job.ended = time.Now()
 			job.failed = state == describer.JobFailed
--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -290,6 +290,10 @@
 		slog.Duration("Took", result.Took),
 		logger.Error(result.Err),
 	}
+	if result.Organisation != "" {
+		attributes = append(attributes, slog.String("Organisation", result.Organisation))
+		observer.count("Organisations.Calls", "Organisation", result.Organisation, "Outcome", result.Outcome)
+	}
 	switch result.Call {
 	case "Submit":
 		observer.log(logger.EventJobStored, append(attributes, slog.String("Queue", result.Queue))...)
@@ -335,6 +339,8 @@
 	observer.log(logger.EventCellConfigInForce,
 		slog.Int64("Version", config.Version),
 		slog.Int("Queues", len(config.Queues)),
+		slog.Int("Organisations", len(config.Organisations)),
+		slog.Int("Keys", len(config.Keys)),
 		slog.String("ConfigCall", string(call)),
 		slog.Duration("Age", before.Age),
 		slog.Duration("WatchAge", before.WatchAge))
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -138,12 +138,16 @@
 	queue := scheduler.queueWaiting(now)
 	scheduler.rankWorkers(now)
 	clear(scheduler.reserved)
+	clear(scheduler.capBlocked)
 	scheduler.deferrable = false
 	scheduler.evacuate(now)
 	blockedSteps, reservations := 0, 0
 	// Gangs wait longer than single tasks, so the CPU that they need must not keep other steps from requesting advice.
 	var queuedByGangs, queuedByOthers float64
 	place := func(queued queuedStep) {
+		if scheduler.cappedInPass(queued) {
+			return
+		}
 		queuedShare := &queuedByOthers
 		if queued.step.Gang {
 			queuedShare = &queuedByGangs
@@ -261,6 +265,9 @@
 		if task.state != taskWaiting {
 			continue
 		}
+		if step.capRoom() == 0 {
+			break
+		}
 		worker, ticket := scheduler.chooseWorker(now, task, nil, "")
 		if worker == nil {
 			step.advice.unplacedInLastPass = true
@@ -281,6 +288,9 @@
 		if task.state != taskWaiting || now.Before(task.retryAt) {
 			continue
 		}
+		if step.capRoom() == 0 {
+			break
+		}
 		chosen := candidates.take()
 		if chosen == nil {
 			break
@@ -302,6 +312,9 @@
 		// Some tasks of an earlier run have not ended yet.
 		return
 	}
+	if step.capRoom() == 0 {
+		return
+	}
 	placements := scheduler.findPlacements(now, step)
 	step.advice.unplacedInLastPass = placements == nil
 	if placements == nil {
--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -15,9 +15,10 @@
 // Record is the stored state of a job.
 type Record struct {
 	State describer.JobState
-	// Queue and Ended are set in a final state only.
-	Queue string    `json:",omitempty"`
-	Ended time.Time `json:",omitzero"`
+	// Queue, Organisation and Ended are set in a final state only.
+	Queue        string    `json:",omitempty"`
+	Organisation string    `json:",omitempty"`
+	Ended        time.Time `json:",omitzero"`
 	// Policy is the policy that was last known, if that is not the one in the job's description.
 	Policy *describer.Policy `json:",omitempty"`
 	// Next is the first occurrence that was not due yet; Completed counts the finished occurrences.
@@ -91,6 +92,7 @@
 	}
 	if job.state.Final() {
 		record.Queue = job.Queue
+		record.Organisation = job.Job.Organisation
 		record.Ended = job.endedAt
 		return record
 	}
@@ -259,8 +261,9 @@
 func (scheduler *Scheduler) restoreEnded(id describer.JobID, record Record) {
 	job := &job{
 		Job: &describer.Job{
-			ID:    id,
-			Queue: record.Queue,
+			ID:           id,
+			Queue:        record.Queue,
+			Organisation: record.Organisation,
 		},
 		queue:   scheduler.statsFor(record.Queue),
 		state:   record.State,
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -15,6 +15,7 @@
 	worker := run.worker
 	worker.runs[run.id()] = run
 	worker.used = worker.used.Add(task.step.Occupied())
+	run.charge()
 	task.active = run
 	task.state = taskActive
 	task.step.unplaced--
@@ -39,6 +40,7 @@
 func (scheduler *Scheduler) freeResources(run *run) {
 	run.endProbation()
 	run.worker.used = run.worker.used.Sub(run.task.step.Occupied())
+	run.credit()
 	scheduler.changed = true
 }
 
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/isolator"
+	"pomelomoor/internal/placement/accountant"
 )
 
 // Options holds the limits of the deployment and the start of the term.
@@ -28,6 +29,8 @@
 	Takeover time.Time
 	// InheritedRenewal is how long after Takeover an earlier leader may still renew leases.
 	InheritedRenewal time.Duration
+	// CapOverage is the share by which a gang may exceed the cap of its organisation.
+	CapOverage float64
 }
 
 const (
@@ -84,6 +87,10 @@
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[*job]struct{}
 	queues    map[string]*queueStats
+	// accounts holds what each organisation has running, by name.
+	accounts map[string]*accountant.Account
+	// capBlocked holds the organisations whose cap keeps a gang waiting in this pass, so that their later steps wait too.
+	capBlocked map[*accountant.Account]bool
 	// unansweredCalls holds the times of the most recent calls to workers that got no answer.
 	unansweredCalls []time.Time
 	dirty           map[describer.JobID]struct{}
@@ -116,6 +123,8 @@
 	*describer.Job
 
 	queue *queueStats
+	// account is that of the job's organisation; nil if it has none.
+	account *accountant.Account
 	// policy is the queue's, or the last known one if the queue was removed.
 	policy describer.Policy
 	state  describer.JobState
@@ -299,8 +308,12 @@
 		waiting:   map[*step]struct{}{},
 		scheduled: map[*job]struct{}{},
 		queues:    map[string]*queueStats{},
-		dirty:     map[describer.JobID]struct{}{},
-		setAside:  map[describer.JobID]bool{},
+
+		accounts:   map[string]*accountant.Account{},
+		capBlocked: map[*accountant.Account]bool{},
+
+		dirty:    map[describer.JobID]struct{}{},
+		setAside: map[describer.JobID]bool{},
 	}
 }
 
@@ -309,6 +322,7 @@
 func (scheduler *Scheduler) SetConfig(config *describer.Config) {
 	former := scheduler.config
 	scheduler.config = config
+	scheduler.setAccounts()
 	for _, job := range scheduler.jobs {
 		switch queue := config.Queue(job.Queue); {
 		case queue != nil:
@@ -360,6 +374,7 @@
 	job := &job{
 		Job:         description,
 		queue:       scheduler.statsFor(description.Queue),
+		account:     scheduler.account(description.Organisation),
 		state:       describer.JobQueued,
 		occurrences: map[int]*occurrence{},
 	}
@@ -421,6 +436,15 @@
 	}
 }
 
+// Organisation returns the name of the organisation that a job belongs to; empty if it has none or is not known.
+func (scheduler *Scheduler) Organisation(id describer.JobID) string {
+	job := scheduler.jobs[id]
+	if job == nil {
+		return ""
+	}
+	return job.Job.Organisation
+}
+
 // Pending returns the number of jobs that have not started, by queue.
 func (scheduler *Scheduler) Pending() map[string]int {
 	counts := map[string]int{}
