--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -92,7 +92,7 @@
 	}
 	if job.state.Final() {
 		record.Queue = job.Queue
-		record.Organisation = job.Job.Organisation
+		record.Organisation = job.Organisation
 		record.Ended = job.endedAt
 		return record
 	}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -442,7 +442,7 @@
 	if job == nil {
 		return ""
 	}
-	return job.Job.Organisation
+	return job.Organisation
 }
 
 // Pending returns the number of jobs that have not started, by queue.
