--- a/internal/placement/accountant/accountant.go
+++ b/internal/placement/accountant/accountant.go
@@ -50,8 +50,13 @@
 func (account *Account) Room(needs descriptor.Resources) int {
 	room := int64(math.MaxInt)
 	for _, resource := range account.resources(needs, account.used) {
-		if resource.limit > 0 && resource.need > 0 {
-			room = min(room, max(resource.limit-resource.used, 0)/resource.need)
+		switch {
+		case resource.limit <= 0:
+		case resource.used > resource.limit:
+			// Also a task that needs none of this resource would start above the cap.
+			room = 0
+		case resource.need > 0:
+			room = min(room, (resource.limit-resource.used)/resource.need)
 		}
 	}
 	if room == 0 && account.used == (descriptor.Resources{}) {
@@ -78,7 +83,7 @@
 	for _, resource := range account.resources(needs, used) {
 		// The product may be larger than the largest integer.
 		total := float64(resource.used) + float64(resource.need)*float64(count)
-		if resource.limit > 0 && resource.need > 0 && total > float64(resource.limit)*(1+account.Overage) {
+		if resource.limit > 0 && total > float64(resource.limit)*(1+account.Overage) {
 			return false
 		}
 	}
