--- a/internal/cell/scheduler/script_test.go
+++ b/internal/cell/scheduler/script_test.go
@@ -125,6 +125,7 @@
 		RemoteFactor:     3,
 		Takeover:         script.now,
 		InheritedRenewal: 2 * time.Second,
+		CapOverage:       0.1,
 	}, script.config)
 	script.starts = map[string]Start{}
 	script.stops = map[string]Stop{}
@@ -180,6 +181,8 @@
 		script.queue(words[0], script.options(words[1:]))
 	case "unqueue":
 		script.unqueue(words[0])
+	case "organisation":
+		script.organisation(words[0], script.options(words[1:]))
 	case "earlier":
 		script.earlier(describer.JobID(words[0]))
 	case "worker":
@@ -272,12 +275,31 @@
 
 func (script *script) setQueues(queues []describer.Queue) {
 	script.config = &describer.Config{
-		Version: script.config.Version + 1,
-		Queues:  queues,
+		Version:       script.config.Version + 1,
+		Queues:        queues,
+		Organisations: script.config.Organisations,
 	}
 	script.scheduler.SetConfig(script.config)
 }
 
+// organisation sets the cap of an organisation in cores and its weight.
+func (script *script) organisation(name string, options map[string]string) {
+	config := *script.config
+	config.Version++
+	config.Organisations = slices.DeleteFunc(slices.Clone(config.Organisations), func(organisation describer.Organisation) bool {
+		return organisation.Name == name
+	})
+	config.Organisations = append(config.Organisations, describer.Organisation{
+		Name:   name,
+		Weight: float64(script.count(options, "weight", 1)),
+		Cap: descriptor.Resources{
+			MilliCPU: int64(script.count(options, "cap", 0)) * 1000,
+		},
+	})
+	script.config = &config
+	script.scheduler.SetConfig(script.config)
+}
+
 func (script *script) service(options map[string]string) string {
 	if service, found := options["service"]; found {
 		return service
@@ -326,6 +348,10 @@
 		job.Policy = nil
 		words = words[1:]
 	}
+	if len(words) > 0 && strings.HasPrefix(words[0], "org=") {
+		job.Organisation = strings.TrimPrefix(words[0], "org=")
+		words = words[1:]
+	}
 	if len(words) == 0 {
 		words = []string{"count=1"}
 	}
