scheduler: order of classes when there is too little room

Cause: queues' priorities were not read, and jobs beyond an organisation's entitlement took the place of others. Change: package placement/yielder decides which waiting steps yield when the work in time does not fit; jobs beyond the entitlement of their organisation come after all others with value; gangs reserve workers against lower queues. Conclusion: lower queues and excess give way first.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -108,6 +108,8 @@
 	for _, request := range requests {
 		advisor.queueFor(request).Add(prioritizer.Rank{
 			Lateness:   request.Lateness,
+			Yields:     request.Yields,
+			Excess:     request.Excess,
 			UrgentFrom: request.UrgentFrom,
 		}, request)
 	}
--- a/internal/cell/prioritizer/prioritizer.go
+++ b/internal/cell/prioritizer/prioritizer.go
@@ -12,14 +12,46 @@
 	// Lateness is 0 if the item's job can meet its objective, 1 if it can only save part of its value, and 2 if it has no
 	// value left. Lower values come first.
 	Lateness int
-	// UrgentFrom is when the item's step has to start to meet its objective. It orders items of equal lateness; earlier
-	// times come first.
+	// Yields means that there is too little room for all items and that a delay of this one costs callers least. It comes
+	// after the items of the same lateness that do not yield.
+	Yields bool
+	// Excess means that the job's organisation is not entitled to it. It comes after all others that have any value.
+	Excess bool
+	// UrgentFrom is when the item's step has to start to meet its objective. It orders items of one class; earlier times
+	// come first.
 	UrgentFrom time.Time
 }
 
+// The classes of ranks, the first one first.
+const (
+	classInTime = iota
+	classYielding
+	classLate
+	classExcess
+	classExcessLate
+	classWorthless
+)
+
+func (rank Rank) class() int {
+	switch {
+	case rank.Lateness > 1:
+		return classWorthless
+	case rank.Excess && rank.Lateness > 0:
+		return classExcessLate
+	case rank.Excess:
+		return classExcess
+	case rank.Lateness > 0:
+		return classLate
+	case rank.Yields:
+		return classYielding
+	default:
+		return classInTime
+	}
+}
+
 // Compare returns a negative number if the rank comes before other, and a positive one if it comes after it.
 func (rank Rank) Compare(other Rank) int {
-	return cmp.Or(rank.Lateness-other.Lateness, rank.UrgentFrom.Compare(other.UrgentFrom))
+	return cmp.Or(rank.class()-other.class(), rank.UrgentFrom.Compare(other.UrgentFrom))
 }
 
 // Queue holds items by rank, those of equal rank in the order in which they were added. The zero value is empty. It is
--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -139,6 +139,8 @@
 			Step:             step.id(),
 			Workers:          batch,
 			Lateness:         queued.lateness,
+			Yields:           queued.yields,
+			Excess:           step.job.excess,
 			UrgentFrom:       queued.urgentFrom,
 			WorthlessFrom:    queued.worthlessFrom,
 			ExpectedDuration: policy.Base + time.Duration(len(batch))*policy.PerWorker,
--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -43,7 +43,7 @@
 func (scheduler *Scheduler) candidates(now time.Time, step *step, rack string) *candidates {
 	found := &candidates{}
 	consider := func(worker *worker, ticket ticket) {
-		if scheduler.deferrable && scheduler.reserved[worker.id] || rack != "" && worker.description.Rack != rack ||
+		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack ||
 			worker.probation != nil || worker.heldForOther(now, step) {
 			return
 		}
--- a/internal/cell/scheduler/effects.go
+++ b/internal/cell/scheduler/effects.go
@@ -57,6 +57,9 @@
 	// Lateness is 0 if the job can meet its objective, 1 if it can only save part of its value, and 2 if it has no value
 	// left. Lower values are sent first.
 	Lateness int
+	// Yields and Excess have the request sent after others of its lateness, as prioritizer.Rank tells.
+	Yields bool
+	Excess bool
 	// UrgentFrom is when the step has to start to meet its objective, less margins for delays. It orders requests of
 	// equal lateness; earlier times are sent first.
 	UrgentFrom time.Time
--- a/internal/cell/scheduler/organisations.go
+++ b/internal/cell/scheduler/organisations.go
@@ -16,6 +16,8 @@
 	if account == nil {
 		account = &accountant.Account{
 			Overage: scheduler.options.CapOverage,
+			Window:  scheduler.options.EntitlementWindow,
+			Slack:   scheduler.options.EntitlementSlack,
 		}
 		scheduler.accounts[name] = account
 		scheduler.setAccount(name, account)
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pomelomoor/internal/cell/prioritizer"
 	"pomelomoor/internal/work/descriptor"
 )
 
@@ -29,7 +30,7 @@
 const (
 	// maxReservations limits the number of gangs that reserve workers in one pass. A gang counts once, however many
 	// workers it reserves.
-	maxReservations = 3
+	maxReservations = 6
 	// deferrableSlack is the time until its urgentFrom above which a step leaves reserved workers to gangs.
 	deferrableSlack = 1500 * time.Millisecond
 	// maxQueuedCPUShare is the share of the cell's CPU that the waiting tasks of earlier steps in the queue may need
@@ -77,6 +78,17 @@
 	urgentFrom time.Time
 	// worthlessFrom is from when no value is left; zero for a lasting step.
 	worthlessFrom time.Time
+	// yields means that there is too little room for all steps, and that a delay of this one costs callers least.
+	yields bool
+}
+
+func (queued *queuedStep) rank() prioritizer.Rank {
+	return prioritizer.Rank{
+		Lateness:   queued.lateness,
+		Yields:     queued.yields,
+		Excess:     queued.step.job.excess,
+		UrgentFrom: queued.urgentFrom,
+	}
 }
 
 func (scheduler *Scheduler) newQueuedStep(now time.Time, step *step) queuedStep {
@@ -103,10 +115,7 @@
 }
 
 func compareQueuedSteps(left, right queuedStep) int {
-	if left.lateness != right.lateness {
-		return left.lateness - right.lateness
-	}
-	if compared := left.urgentFrom.Compare(right.urgentFrom); compared != 0 {
+	if compared := left.rank().Compare(right.rank()); compared != 0 {
 		return compared
 	}
 	if left.step.job.ID != right.step.job.ID {
@@ -135,8 +144,8 @@
 		return
 	}
 	scheduler.changed = false
-	queue := scheduler.queueWaiting(now)
 	scheduler.rankWorkers(now)
+	queue := scheduler.queueWaiting(now)
 	clear(scheduler.reserved)
 	clear(scheduler.capBlocked)
 	scheduler.deferrable = false
@@ -159,6 +168,7 @@
 			*queuedShare += scheduler.cpuShare(queued.step)
 		}
 		scheduler.deferrable = queued.urgentFrom.Sub(now) > deferrableSlack
+		scheduler.givesWay = queued.yields || queued.lateness > 0
 		scheduler.placeStep(now, queued.step)
 		if !queued.step.advice.unplacedInLastPass || queued.lateness == 2 {
 			return
@@ -194,7 +204,11 @@
 			}
 		})
 	}
+	scheduler.entitle(queue)
 	slices.SortFunc(queue, compareQueuedSteps)
+	if scheduler.chooseYielding(now, queue) {
+		slices.SortFunc(queue, compareQueuedSteps)
+	}
 	return queue
 }
 
@@ -234,11 +248,20 @@
 	}
 	for id, ticket := range step.advice.tickets {
 		if ticket.valid(now) {
-			scheduler.reserved[id] = true
+			if other, reserved := scheduler.reserved[id]; !reserved || step.job.policy.Priority < other {
+				scheduler.reserved[id] = step.job.policy.Priority
+			}
 		}
 	}
 }
 
+// isReserved reports whether the step that is being placed has to leave the worker to a gang: it can wait, or its delay
+// costs callers less and the gang's queue is not below its own.
+func (scheduler *Scheduler) isReserved(worker *worker, step *step) bool {
+	priority, reserved := scheduler.reserved[worker.id]
+	return reserved && (scheduler.deferrable || step.job.policy.Priority > priority || scheduler.givesWay && step.job.policy.Priority >= priority)
+}
+
 func (scheduler *Scheduler) placeStep(now time.Time, step *step) {
 	if step.job.state.Final() {
 		// The job failed in this pass, with another of its steps.
@@ -418,7 +441,7 @@
 	isolated := scheduler.isolated(now, task)
 	var bestScore float64
 	consider := func(worker *worker, ticket ticket) {
-		if scheduler.deferrable && scheduler.reserved[worker.id] || rack != "" && worker.description.Rack != rack || worker.heldForOther(now, step) ||
+		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack || worker.heldForOther(now, step) ||
 			scheduler.isolating[worker] {
 			return
 		}
--- a/internal/cell/scheduler/ranking.go
+++ b/internal/cell/scheduler/ranking.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/work/descriptor"
 )
 
 // rankLevels is the number of levels of free capacity that the ranking of workers tells apart. A pass ranks all workers
@@ -60,6 +61,7 @@
 // by ID.
 func (scheduler *Scheduler) rankWorkers(now time.Time) {
 	scheduler.totalMilliCPU, scheduler.freeShare = 0, 0
+	scheduler.total = descriptor.Resources{}
 	ranking := &scheduler.ranking
 	ranking.usable, ranking.levels, ranking.quarantined = ranking.usable[:0], ranking.levels[:0], ranking.quarantined[:0]
 	var starts [rankLevels + 1]int
@@ -69,6 +71,7 @@
 			continue
 		}
 		scheduler.totalMilliCPU += worker.description.Capacity.MilliCPU
+		scheduler.total = scheduler.total.Add(worker.description.Capacity)
 		used += worker.used.MilliCPU
 		if now.Before(worker.health.quarantinedUntil) {
 			ranking.quarantined = append(ranking.quarantined, worker)
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -6,7 +6,6 @@
 	"github.com/go-faster/errors"
 
 	"pomelomoor/internal/cell/describer"
-	"pomelomoor/internal/cell/prioritizer"
 )
 
 // allocate assigns a run to its worker and takes up the resources that the run needs.
@@ -140,10 +139,7 @@
 	}
 	queued := scheduler.newQueuedStep(now, run.task.step)
 	scheduler.effects.Starts = append(scheduler.effects.Starts, Start{
-		Rank: prioritizer.Rank{
-			Lateness:   queued.lateness,
-			UrgentFrom: queued.urgentFrom,
-		},
+		Rank:   queued.rank(),
 		SendBy: sendBy,
 		Worker: worker.description,
 		Fence:  worker.fence,
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/isolator"
 	"pomelomoor/internal/placement/accountant"
+	"pomelomoor/internal/work/descriptor"
 )
 
 // Options holds the limits of the deployment and the start of the term.
@@ -29,8 +30,12 @@
 	Takeover time.Time
 	// InheritedRenewal is how long after Takeover an earlier leader may still renew leases.
 	InheritedRenewal time.Duration
-	// CapOverage is the share by which a gang may exceed the cap of its organisation.
+	// CapOverage is the share by which a gang may exceed the cap of its organisation, and the jobs of an organisation those
+	// that it is entitled to.
 	CapOverage float64
+	// EntitlementWindow and EntitlementSlack tell which jobs an organisation is entitled to, as accountant.Account does.
+	EntitlementWindow time.Duration
+	EntitlementSlack  int
 }
 
 const (
@@ -68,14 +73,17 @@
 	// ranked holds the workers that may be given work in this pass, the one with the most free capacity first.
 	ranked  []*worker
 	ranking ranking
-	// totalMilliCPU is the CPU capacity of the usable workers.
+	// totalMilliCPU is the CPU capacity of the usable workers, and total their whole capacity.
 	totalMilliCPU int64
+	total         descriptor.Resources
 	// freeShare is the share of totalMilliCPU that is not allocated to runs.
 	freeShare float64
-	// reserved holds the workers that are reserved for gangs in this pass; deferrable means that the step being
-	// placed can wait and must not use them.
-	reserved   map[describer.WorkerID]bool
+	// reserved holds the workers that are reserved for gangs in this pass, with the highest priority of their queues.
+	// deferrable means that the step being placed can wait and must not use them, givesWay that it must not use those of
+	// gangs whose queue is not below its own.
+	reserved   map[describer.WorkerID]int
 	deferrable bool
+	givesWay   bool
 	// isolating holds the workers chosen for the suspects of the gang being placed, which take no other member.
 	isolating map[*worker]bool
 	// adviceRoom is the room for requests in this pass.
@@ -123,8 +131,11 @@
 	*describer.Job
 
 	queue *queueStats
-	// account is that of the job's organisation; nil if it has none.
-	account *accountant.Account
+	// account is that of the job's organisation; nil if it has none. excess means that the organisation is not entitled to
+	// the job, once entitled tells that this was decided.
+	account  *accountant.Account
+	excess   bool
+	entitled bool
 	// policy is the queue's, or the last known one if the queue was removed.
 	policy describer.Policy
 	state  describer.JobState
@@ -303,7 +314,7 @@
 		forgotten:     map[describer.WorkerID]time.Time{},
 
 		lost:      map[describer.WorkerID]*lostWorker{},
-		reserved:  map[describer.WorkerID]bool{},
+		reserved:  map[describer.WorkerID]int{},
 		isolating: map[*worker]bool{},
 		waiting:   map[*step]struct{}{},
 		scheduled: map[*job]struct{}{},
--- /dev/null
+++ b/internal/cell/scheduler/yielding.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"pomelomoor/internal/placement/yielder"
+)
+
+// entitle decides for the jobs that are new in the queue whether their organisations are entitled to them.
+func (scheduler *Scheduler) entitle(queue []queuedStep) {
+	var jobs []*job
+	for index := range queue {
+		if job := queue[index].step.job; job.account != nil && !job.entitled {
+			job.entitled = true
+			jobs = append(jobs, job)
+		}
+	}
+	slices.SortFunc(jobs, func(left, right *job) int {
+		return left.Submitted.Compare(right.Submitted)
+	})
+	for _, job := range jobs {
+		job.excess = !job.account.Arrive(job.Submitted)
+	}
+}
+
+// chooseYielding marks the steps that yield, if there is too little room to end all those in time that still can. The queue
+// is ordered. It reports whether any step yields. While the running and the waiting work together fit into the cell, none
+// does.
+func (scheduler *Scheduler) chooseYielding(now time.Time, queue []queuedStep) bool {
+	var items []yielder.Work
+	var indices []int
+	waiting := 0.0
+	for index := range queue {
+		queued := &queue[index]
+		if queued.lateness > 0 || queued.step.Perpetual {
+			continue
+		}
+		amount := scheduler.amount(queued.step)
+		waiting += amount
+		items = append(items, yielder.Work{
+			Excess:   queued.step.job.excess,
+			Priority: queued.step.job.policy.Priority,
+			Due:      queued.urgentFrom.Add(scheduler.runTime(queued.step)),
+			Amount:   amount,
+			Done:     queued.step.occurrence.done(),
+			Arrived:  queued.step.job.Submitted,
+		})
+		indices = append(indices, index)
+	}
+	if len(items) < 2 || waiting < scheduler.freeShare {
+		return false
+	}
+	order := make([]int, len(items))
+	for index := range order {
+		order[index] = index
+	}
+	slices.SortStableFunc(order, func(left, right int) int {
+		return items[left].Due.Compare(items[right].Due)
+	})
+	sorted := make([]yielder.Work, len(items))
+	for position, index := range order {
+		sorted[position] = items[index]
+	}
+	any := false
+	for position, yields := range yielder.Choose(now, scheduler.supply(now), sorted) {
+		if yields {
+			queue[indices[order[position]]].yields = true
+			any = true
+		}
+	}
+	return any
+}
+
+// amount returns the share of the cell that the waiting tasks of step occupy, times the seconds that they take.
+func (scheduler *Scheduler) amount(step *step) float64 {
+	return step.Occupied().DominantShare(scheduler.total) * float64(step.unplaced) * scheduler.runTime(step).Seconds()
+}
+
+// done returns the share of the steps of the occurrence that are done.
+func (occurrence *occurrence) done() float64 {
+	return 1 - float64(occurrence.unfinished)/float64(max(len(occurrence.steps), 1))
+}
+
+// supply returns what the runs leave free in the time to come.
+func (scheduler *Scheduler) supply(now time.Time) *yielder.Supply {
+	supply := &yielder.Supply{}
+	for _, worker := range scheduler.ranking.usable {
+		for _, run := range worker.runs {
+			if run.phase == phaseUnlisted {
+				continue
+			}
+			remaining := scheduler.expectedEnd(now, run).Sub(now)
+			if run.task.step.Perpetual {
+				remaining = maxEstimate
+			}
+			supply.AddRunning(run.task.step.Occupied().DominantShare(scheduler.total), remaining)
+		}
+	}
+	return supply
+}
+
+// minRemaining is the least time until a run is expected to end that has taken longer than expected.
+const minRemaining = 100 * time.Millisecond
+
+// expectedEnd returns when the end of a run is expected to be known.
+func (scheduler *Scheduler) expectedEnd(now time.Time, run *run) time.Time {
+	took := time.Duration(float64(scheduler.runTime(run.task.step)) * run.worker.health.slowdownFactor())
+	end := run.placedAt.Add(took)
+	if run.phase == phaseStopping {
+		end = now
+	}
+	if earliest := now.Add(minRemaining); end.Before(earliest) {
+		return earliest
+	}
+	return end
+}
--- a/internal/placement/accountant/accountant.go
+++ b/internal/placement/accountant/accountant.go
@@ -9,9 +9,9 @@
 	"pomelomoor/internal/work/descriptor"
 )
 
-// entitlementWindow is the time over which the jobs of an organisation are compared with those that it is entitled to, so
-// that callers who come in waves do not lose their entitlement to the crest of a wave.
-const entitlementWindow = 5 * time.Second
+// defaultWindow is the time over which the jobs of an organisation are compared with those that it is entitled to, if the
+// account does not tell, so that callers who come in waves do not lose their entitlement to the crest of a wave.
+const defaultWindow = 5 * time.Second
 
 // Account holds what one organisation has running and what it may have. The zero value has no cap and no weight. It is not
 // safe for concurrent use.
@@ -21,8 +21,13 @@
 	Weight float64
 	// Cap limits Used. A component of 0 is no limit.
 	Cap descriptor.Resources
-	// Overage is the share of Cap by which a gang may exceed it, since a gang cannot start in parts.
+	// Overage is the share of Cap by which a gang may exceed it, since a gang cannot start in parts, and the share by which
+	// the jobs of the organisation may exceed those that it is entitled to.
 	Overage float64
+	// Window is the time over which jobs are compared with Weight, and Slack the number of jobs in it that are always
+	// allowed for beyond that, so that few jobs at once are no excess.
+	Window time.Duration
+	Slack  int
 
 	used descriptor.Resources
 	// spent is how many of the jobs that the account is entitled to have been used up by spentAt.
@@ -125,14 +130,22 @@
 }
 
 // Arrive notes a job that was submitted at a time, and reports whether the organisation is entitled to it: it sent no more
-// than Weight jobs a second, averaged over entitlementWindow. A job beyond that does not use up the entitlement of later
+// than Weight jobs a second over Window, with Overage and Slack. A job beyond that does not use up the entitlement of later
 // ones.
 func (account *Account) Arrive(at time.Time) bool {
+	if account.Weight <= 0 {
+		return false
+	}
+	window := account.Window
+	if window <= 0 {
+		window = defaultWindow
+	}
+	rate := account.Weight * (1 + account.Overage)
 	if elapsed := at.Sub(account.spentAt).Seconds(); elapsed > 0 {
-		account.spent = max(account.spent-elapsed*account.Weight, 0)
+		account.spent = max(account.spent-elapsed*rate, 0)
 		account.spentAt = at
 	}
-	if account.spent+1 > max(account.Weight*entitlementWindow.Seconds(), 1) || account.Weight <= 0 {
+	if account.spent+1 > max(rate*window.Seconds()+float64(account.Slack), 1) {
 		return false
 	}
 	account.spent++
