--- a/cmd/pomelomoor/main.go
+++ b/cmd/pomelomoor/main.go
@@ -12,8 +12,10 @@
 	"syscall"
 
 	"pomelomoor/internal/client/commander"
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/entry/assembler"
 	"pomelomoor/internal/node/loader"
+	"pomelomoor/platform"
 )
 
 func main() {
@@ -31,10 +33,22 @@
 		Entry:   runEntry,
 		Node:    runNode,
 		Local:   runLocal,
+		CellForm: &commander.CellForm{
+			Recognise: platform.IsConfig,
+			Parse:     parseCell,
+			Field:     platform.ConfigField,
+		},
 	}
 	return program.Run(ctx, os.Args[1:])
 }
 
+func parseCell(document []byte) (checker.Cell, []error) {
+	config, faults := platform.InspectConfig(document)
+	return checker.Cell{
+		Config: config,
+	}, faults
+}
+
 // started is the line that an entry instance prints to standard output with the addresses it listens on.
 type started struct {
 	Instance string
--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -27,6 +27,8 @@
 	"pomelomoor/internal/cell/relayer"
 	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
+	"pomelomoor/internal/config/alerter"
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/node/drainer"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/node/meter"
@@ -82,6 +84,7 @@
 	advice       *platform.Advice
 	connector    *connector.Connector
 	refresher    *refresher.Refresher
+	alerter      *alerter.Alerter
 	admitter     *admitter.Admitter
 	elector      *elector.Elector
 	// resign cancels electionCtx, in which the elector runs and may hold the leader lease.
@@ -127,6 +130,7 @@
 		PeersByDataCentre:    instance.peersByDataCentre,
 		OnReachabilityChange: instance.storeReachabilityChanged,
 	}
+	instance.alerter = alerter.New(options.Log, platform.ConfigField)
 	instance.refresher = refresher.New(refresher.Options{
 		Store:       instance.store,
 		Commit:      instance.relayer.HedgedCommit,
@@ -232,6 +236,7 @@
 		return err
 	})
 	tree.Add("Config", instance.refresher.Run)
+	tree.Add("ConfigCheck", instance.alerter.Run)
 	tree.Add("Peers", func(ctx context.Context) error {
 		return connector.Serve(ctx, instance.settings.Peer, instance, instance.advice, instance.relayer, instance.acknowledger())
 	})
@@ -311,11 +316,14 @@
 	}
 }
 
-// configChanged passes a new configuration to the leader, if this instance leads.
+// configChanged passes a new configuration to the leader, if this instance leads, and has it checked.
 func (instance *Instance) configChanged(config *describer.Config) {
 	if leader := instance.currentLeader(); leader != nil {
 		leader.SetConfig(config)
 	}
+	instance.alerter.Arrived(config.Version, checker.Cell{
+		Config: config,
+	})
 }
 
 // parseConfig parses a configuration. The settings may require keys although it names no organisations.
--- a/internal/client/commander/commander.go
+++ b/internal/client/commander/commander.go
@@ -14,6 +14,7 @@
 
 	"pomelomoor/internal/client/caller"
 	"pomelomoor/internal/client/printer"
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/work/descriptor"
@@ -41,6 +42,10 @@
 	ExitNotDone = 8
 	// ExitDiffers means that diff --exit-code found changes.
 	ExitDiffers = 9
+	// ExitFindings and ExitUnreadable are the exit codes of config check for a configuration with errors or warnings, and
+	// for a file that is not a configuration at all.
+	ExitFindings   = 1
+	ExitUnreadable = 2
 )
 
 // LocalOptions configure pomelomoor local.
@@ -64,6 +69,16 @@
 	Stdout   io.Writer
 }
 
+// CellForm reads the form of configurations of a cell on the users' platform.
+type CellForm struct {
+	// Recognise reports whether a document has this form.
+	Recognise func(document []byte) bool
+	// Parse returns what can be read of a document, and all faults for which an instance refuses it.
+	Parse func(document []byte) (checker.Cell, []error)
+	// Field returns the path in a document of a field of the parsed configuration.
+	Field func(path string) string
+}
+
 // Program holds the standard streams and the functions that the commands use.
 type Program struct {
 	Stdin   io.Reader
@@ -77,6 +92,8 @@
 	Node func(ctx context.Context, options NodeOptions) error
 	// Local runs the whole system in this process and writes a report.
 	Local func(ctx context.Context, options LocalOptions) error
+	// CellForm, if set, lets config check read configurations of a cell.
+	CellForm *CellForm
 }
 
 // exitError is an error with a specific exit code. If err is nil, nothing is printed.
@@ -107,6 +124,7 @@
 	Apply     applyCommand     `cmd:"" help:"Put a configuration in force."`
 	Get       getCommand       `cmd:"" help:"Print the configuration in force with its revision."`
 	Diff      diffCommand      `cmd:"" help:"Show what a configuration would change."`
+	Config    configCommand    `cmd:"" help:"Work with configuration files."`
 	Submit    submitCommand    `cmd:"" help:"Submit a job and print its ID."`
 	Status    statusCommand    `cmd:"" help:"Show the state of a job."`
 	Cancel    cancelCommand    `cmd:"" help:"End a job."`
--- a/internal/client/printer/printer.go
+++ b/internal/client/printer/printer.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/entry/presenter"
 	"pomelomoor/internal/work/descriptor"
 )
@@ -91,6 +93,27 @@
 	return fmt.Sprintf("%.4g TiB", value)
 }
 
+// ConfigReport prints the findings of a check of the configuration in file, and which rules were left out.
+func (printer *Printer) ConfigReport(file string, report checker.Report) error {
+	return printer.print(report, func(line func(cells ...string)) {
+		if len(report.Findings) == 0 {
+			line(file + " has no findings")
+		} else {
+			line("SEVERITY", "LINE", "FIELD", "RULE", "FINDING")
+		}
+		for _, finding := range report.Findings {
+			place := "-"
+			if finding.Line > 0 {
+				place = strconv.Itoa(finding.Line)
+			}
+			line(string(finding.Severity), place, orDash(finding.Field), finding.Rule, finding.Text)
+		}
+		for _, leftOut := range report.LeftOut {
+			line("left out: " + leftOut)
+		}
+	})
+}
+
 // Status prints a job with its tasks, and its trail of decisions if there is one.
 func (printer *Printer) Status(status descriptor.JobStatus) error {
 	return printer.print(status, func(line func(cells ...string)) {
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
+	"pomelomoor/internal/config/alerter"
 	"pomelomoor/internal/config/applier"
 	"pomelomoor/internal/entry/adapter"
 	"pomelomoor/internal/entry/handler"
@@ -73,6 +74,7 @@
 	executor   *executor.Client
 	holder     *holder.Holder
 	applier    *applier.Applier
+	alerter    *alerter.Alerter
 	messenger  *messenger.Messenger
 	exchanger  *exchanger.Exchanger
 	jobRouter  *jobrouter.JobRouter
@@ -271,6 +273,7 @@
 		OnExpired:     entry.leaseExpired,
 		OnReachable:   entry.storeReachableChanged,
 	}
+	entry.alerter = alerter.New(entry.log, nil)
 	entry.applier = &applier.Applier{
 		Store:    entry.store,
 		OnChange: entry.configChanged,
@@ -431,6 +434,7 @@
 	store := entry.supervisor.AddSubtree("Store")
 	store.Add("Lease", entry.holder.Serve)
 	store.Add("Configuration", entry.applier.Serve)
+	store.Add("ConfigurationCheck", entry.alerter.Run)
 	members := entry.supervisor.AddSubtree("Members")
 	members.Add("Messenger", entry.messenger.Serve)
 	members.Add("Exchange", entry.exchanger.Serve)
--- a/internal/entry/assembler/lifecycle.go
+++ b/internal/entry/assembler/lifecycle.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/trace"
 
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/gateway/lister"
 	"pomelomoor/internal/member/exchanger"
@@ -97,6 +98,9 @@
 func (entry *Entry) configChanged(compiled *parser.Compiled) {
 	entry.forwarder.SetConfig(compiled)
 	entry.hoster.SetConfig(compiled)
+	entry.alerter.Arrived(int64(compiled.Revision), checker.Policies{
+		Config: compiled.Config,
+	})
 }
 
 // fetchConfig fetches the configuration from a peer that has a newer revision.
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -459,6 +459,27 @@
 		Text:    "configuration watch failed",
 		Meaning: "The watch is re-established; peers still report new revisions.",
 	},
+	{
+		Event:   EventConfigFinding,
+		Level:   slog.LevelWarn,
+		Name:    "ConfigFinding",
+		Text:    "configuration finding",
+		Meaning: "The check of the configuration `Version`, which is in force, found what `Detail` says at `Field`. `pomelomoor config check` has the same rules.",
+	},
+	{
+		Event:   EventConfigChange,
+		Level:   slog.LevelInfo,
+		Name:    "ConfigChange",
+		Text:    "configuration change",
+		Meaning: "`Detail` is what the configuration `Version` changes at `Field` from the one that was checked before. Keys are named by the beginning of their digests.",
+	},
+	{
+		Event:   EventConfigFindingsOmitted,
+		Level:   slog.LevelInfo,
+		Name:    "ConfigFindingsOmitted",
+		Text:    "configuration findings omitted",
+		Meaning: "`Findings` further findings and changes of the configuration `Version` are not logged. `pomelomoor config check` shows all.",
+	},
 	{
 		Event:   EventCellTermBegan,
 		Level:   slog.LevelInfo,
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -77,11 +77,14 @@
 	EventListBack          Event = 708
 
 	// Configuration.
-	EventConfigApplied     Event = 801
-	EventConfigConflict    Event = 802
-	EventConfigFetched     Event = 803
-	EventConfigRefused     Event = 804
-	EventConfigWatchFailed Event = 805
+	EventConfigApplied         Event = 801
+	EventConfigConflict        Event = 802
+	EventConfigFetched         Event = 803
+	EventConfigRefused         Event = 804
+	EventConfigWatchFailed     Event = 805
+	EventConfigFinding         Event = 806
+	EventConfigChange          Event = 807
+	EventConfigFindingsOmitted Event = 808
 
 	// Cell.
 	EventCellTermBegan         Event = 901
--- a/internal/work/selector/selector.go
+++ b/internal/work/selector/selector.go
@@ -246,6 +246,11 @@
 	}
 }
 
+// Requirements returns the requirements, which the caller must not change.
+func (selector Selector) Requirements() []Requirement {
+	return selector.requirements
+}
+
 // Empty reports whether the selector has no requirements and so matches everything.
 func (selector Selector) Empty() bool {
 	return len(selector.requirements) == 0
