--- a/cmd/pomelomoor/main.go
+++ b/cmd/pomelomoor/main.go
@@ -25,7 +25,11 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program := &commander.Program{
+	return newProgram().Run(ctx, os.Args[1:])
+}
+
+func newProgram() *commander.Program {
+	return &commander.Program{
 		Stdin:   os.Stdin,
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
@@ -39,7 +43,6 @@
 			Field:     platform.ConfigField,
 		},
 	}
-	return program.Run(ctx, os.Args[1:])
 }
 
 func parseCell(document []byte) (checker.Cell, []error) {
--- a/internal/client/commander/config.go
+++ b/internal/client/commander/config.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
+	"strings"
 	"unicode/utf8"
 
 	"github.com/go-faster/errors"
@@ -70,7 +72,7 @@
 	for index := range report.Findings {
 		report.Findings[index].Field = config.field(report.Findings[index].Field)
 	}
-	report.Findings = append(config.formFindings(), report.Findings...)
+	report.Findings = config.addFormFindings(report.Findings)
 	for index := range report.Findings {
 		report.Findings[index].Line = config.locator.Line(report.Findings[index].Field)
 	}
@@ -107,7 +109,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.configuration, errors.Wrap(errors.Join(config.faults...), command.InForce)
+	if len(config.faults) > 0 {
+		return nil, errors.Wrap(errors.Join(config.faults...), command.InForce)
+	}
+	return config.configuration, nil
 }
 
 // facts returns what is known of the cell, or nil.
@@ -216,9 +221,10 @@
 	}
 }
 
-// formFindings returns the findings on the form of the document.
-func (checkedConfig *checkedConfig) formFindings() []checker.Finding {
-	findings := []checker.Finding{}
+// addFormFindings returns the findings on the form of the document and those of the rules. A finding on a field in which
+// a fault lies is left out, since it may only follow from the fault.
+func (checkedConfig *checkedConfig) addFormFindings(findings []checker.Finding) []checker.Finding {
+	all := []checker.Finding{}
 	add := func(severity checker.Severity, rule string, errs []error) {
 		for _, err := range errs {
 			finding := checker.Finding{
@@ -230,10 +236,18 @@
 			if errors.As(err, &fieldError) {
 				finding.Field, finding.Text = checkedConfig.faultField(fieldError.Field), fieldError.Reason
 			}
-			findings = append(findings, finding)
+			all = append(all, finding)
 		}
 	}
 	add(checker.SeverityError, checker.RuleRefused, checkedConfig.faults)
+	faults := all
 	add(checker.SeverityWarning, checker.RuleForm, checkedConfig.remarks)
-	return findings
+	for _, finding := range findings {
+		if !slices.ContainsFunc(faults, func(fault checker.Finding) bool {
+			return strings.HasPrefix(fault.Field+".", finding.Field+".") || strings.HasPrefix(fault.Field, finding.Field+"[")
+		}) {
+			all = append(all, finding)
+		}
+	}
+	return all
 }
--- a/internal/config/alerter/alerter.go
+++ b/internal/config/alerter/alerter.go
@@ -21,7 +21,7 @@
 	field   func(path string) string
 	arrived chan arrival
 	inForce checker.Configuration
-	// standing are the findings on inForce. They are not logged again with each later configuration.
+	// standing are the findings on inForce, the configuration that was checked last. They are not logged again with each later configuration.
 	standing map[findingID]bool
 }
 
@@ -81,12 +81,11 @@
 				slog.String("Stack", string(debug.Stack())))
 		}
 	}()
-	inForce := alerter.inForce
-	alerter.inForce = arrival.configuration
 	report := checker.Check(checker.Options{
 		Configuration: arrival.configuration,
-		InForce:       inForce,
+		InForce:       alerter.inForce,
 	})
+	alerter.inForce = arrival.configuration
 	standing := map[findingID]bool{}
 	lines := 0
 	for _, event := range []logger.Event{logger.EventConfigFinding, logger.EventConfigChange} {
--- a/internal/config/checker/cell.go
+++ b/internal/config/checker/cell.go
@@ -42,16 +42,15 @@
 	type address struct {
 		host, prefix string
 	}
-	names := map[string]int{}
+	names := map[string]bool{}
 	addresses := map[address]int{}
 	for index := range config.Queues {
 		queue := &config.Queues[index]
 		own := address{host: queue.Host, prefix: queue.Prefix}
-		if first, known := names[queue.Name]; known {
-			check.warn("QueueRepeated", fmt.Sprintf("Queues[%d].Name", index), "name %q is that of Queues[%d], whose policy counts for the jobs of both", queue.Name, first)
-		} else {
-			names[queue.Name] = index
+		if names[queue.Name] {
+			check.warn("QueueRepeated", fmt.Sprintf("Queues[%d].Name", index), "queue %q stands twice: the policy of the first one counts for the jobs of both", queue.Name)
 		}
+		names[queue.Name] = true
 		if first, known := addresses[own]; known {
 			check.warn("QueueHidden", fmt.Sprintf("Queues[%d].Prefix", index), "queue %q gets no call: queue %q before it has the same host %q and prefix %q",
 				queue.Name, config.Queues[first].Name, queue.Host, queue.Prefix)
@@ -151,7 +150,9 @@
 	}
 	weights := 0.0
 	for index := range config.Organisations {
-		weights += config.Organisations[index].Weight
+		if weight := config.Organisations[index].Weight; possibleWeight(weight) {
+			weights += weight
+		}
 	}
 	for index := range config.Queues {
 		if queue := &config.Queues[index]; !queue.Public && len(config.Keys) == 0 {
@@ -168,6 +169,8 @@
 		}
 		if organisation.Weight == 0 {
 			check.warn("WeightNothing", field+".Weight", "organisation %q has the weight 0: it gets only what the others leave", organisation.Name)
+		}
+		if organisation.Weight == 0 || !possibleWeight(organisation.Weight) {
 			continue
 		}
 		share := organisation.Weight / weights
@@ -182,6 +185,10 @@
 	}
 }
 
+func possibleWeight(weight float64) bool {
+	return weight >= 0 && weight <= describer.MaxWeight
+}
+
 // workOf returns what was seen of an organisation.
 func (check *check) workOf(organisation string) []Work {
 	var found []Work
@@ -197,7 +204,7 @@
 func (check *check) caps(config *describer.Config) {
 	room := check.facts.room()
 	var sum total
-	var uncapped [len(componentNames)]bool
+	var uncapped, unreachable [len(componentNames)]bool
 	for index := range config.Organisations {
 		organisation := &config.Organisations[index]
 		field := fmt.Sprintf("Organisations[%d].Cap", index)
@@ -207,6 +214,7 @@
 				uncapped[component] = true
 			}
 			if room[component] > 0 && limit > room[component] {
+				unreachable[component] = true
 				check.warn("CapAboveRoom", field+"."+componentNames[component], "organisation %q can never reach its cap of %s: all workers have %s",
 					organisation.Name, amount(component, limit), amount(component, room[component]))
 			}
@@ -215,7 +223,7 @@
 	}
 	for component := range componentNames {
 		switch {
-		case room[component] == 0 || sum[component] == 0:
+		case room[component] == 0 || sum[component] == 0 || unreachable[component]:
 		case sum[component] > room[component]:
 			check.note("CapsAboveRoom", "Organisations", "all caps together are %s and all workers have %s: not all can be reached at once",
 				amount(component, sum[component]), amount(component, room[component]))
@@ -242,13 +250,15 @@
 		Overage: check.facts.CapOverage,
 	}
 	for _, work := range check.workOf(organisation.Name) {
+		fits := true
 		for component, limit := range components(organisation.Cap) {
 			if need := components(work.Task)[component]; limit > 0 && need > limit {
+				fits = false
 				check.warn("CapBelowTask", field+"."+componentNames[component], "organisation %q has a cap of %s and a task of queue %q needs %s: it runs only while nothing else of the organisation does",
 					organisation.Name, amount(component, limit), work.Queue, amount(component, need))
 			}
 		}
-		if work.Gang.Tasks > 0 && !account.CanEverHold(work.Gang.Task, work.Gang.Tasks) {
+		if fits && work.Gang.Tasks > 0 && !account.CanEverHold(work.Gang.Task, work.Gang.Tasks) {
 			check.warn("CapBelowGang", field, "organisation %q has a cap of %s and sends gangs of %d tasks of %s to queue %q, which are refused",
 				organisation.Name, amounts(organisation.Cap), work.Gang.Tasks, amounts(work.Gang.Task), work.Queue)
 		}
--- a/internal/config/checker/policies.go
+++ b/internal/config/checker/policies.go
@@ -165,17 +165,19 @@
 func (check *check) quotas(config parser.Config) {
 	room := check.facts.room()
 	var sum total
+	var unreachable [len(componentNames)]bool
 	for index, team := range config.Teams {
 		sum = sum.add(team.Quota, 1)
 		for component, quota := range components(team.Quota) {
 			if room[component] > 0 && quota > room[component] {
+				unreachable[component] = true
 				check.warn("QuotaAboveRoom", fmt.Sprintf("Teams[%d].Quota.%s", index, componentNames[component]), "team %q is guaranteed %s, and all workers have %s",
 					team.Name, amount(component, quota), amount(component, room[component]))
 			}
 		}
 	}
 	for component := range componentNames {
-		if room[component] > 0 && sum[component] > room[component] {
+		if room[component] > 0 && sum[component] > room[component] && !unreachable[component] {
 			check.warn("QuotasAboveRoom", "Teams", "all teams together are guaranteed %s, and all workers have %s",
 				amount(component, sum[component]), amount(component, room[component]))
 		}
