--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -464,7 +464,7 @@
 		Level:   slog.LevelWarn,
 		Name:    "ConfigFinding",
 		Text:    "configuration finding",
-		Meaning: "The check of the configuration `Version`, which is in force, found what `Detail` says at `Field`. `pomelomoor config check` has the same rules.",
+		Meaning: "The check of the configuration `Version`, which is in force, found what `Detail` says at `Field`. `pomelomoor config check FILE` has the same rules.",
 	},
 	{
 		Event:   EventConfigChange,
@@ -478,7 +478,7 @@
 		Level:   slog.LevelInfo,
 		Name:    "ConfigFindingsOmitted",
 		Text:    "configuration findings omitted",
-		Meaning: "`Findings` further findings and changes of the configuration `Version` are not logged. `pomelomoor config check` shows all.",
+		Meaning: "`Findings` further findings and changes of the configuration `Version` are not logged. `pomelomoor config check FILE` shows all.",
 	},
 	{
 		Event:   EventCellTermBegan,
