integration: findings of a configuration at the instances

Cause: no test ran the check in a process. Change: a hidden queue is told once by each instance and does not keep the version out of force.

--- a/integration/cell/config_test.go
+++ b/integration/cell/config_test.go
@@ -255,6 +255,32 @@
 	})
 }
 
+// TestConfigFindings guards against an instance that does not tell what its configuration has no effect with, tells it with
+// each version, or keeps the version out of force because of it.
+func TestConfigFindings(t *testing.T) {
+	cell := newCell(t, 2, 1, plainQueue)
+	cell.awaitServed(plainQueue)
+	hiddenQueue := plainQueue
+	hiddenQueue.Name = "hidden"
+	for _, queues := range [][]standin.Queue{{plainQueue, hiddenQueue}, {plainQueue, hiddenQueue, addedQueue}} {
+		if err := cell.site.Configure(queues...); err != nil {
+			t.Fatal(err)
+		}
+		cell.awaitServed(queues[len(queues)-1])
+	}
+	for index, instance := range cell.instances {
+		cell.await(configApplyTime, "the added queue to be told", func() bool {
+			return instance.lines(`"ConfigChange"`, `"QueueAdded"`, `"Field":"routes[2]"`) == 1
+		})
+		if lines := instance.lines(`"ConfigFinding"`, `"QueueHidden"`, `"Field":"routes[1].prefix"`); lines != 1 {
+			t.Errorf("instance %d told of the hidden queue %d times", index, lines)
+		}
+		if lines := instance.lines(`"ConfigFinding"`); lines != 1 {
+			t.Errorf("instance %d told of %d findings", index, lines)
+		}
+	}
+}
+
 // TestCallsAtTurnedAwayLeader guards against an instance that loses its leadership because the store turns it away, and
 // then does not know who leads: counts of its queues waited for a leader until the caller's deadline and were rejected.
 func TestCallsAtTurnedAwayLeader(t *testing.T) {
--- a/internal/config/checker/policies.go
+++ b/internal/config/checker/policies.go
@@ -130,8 +130,8 @@
 	for index := len(config.Policies) - 1; index >= 0; index-- {
 		policy := &config.Policies[index]
 		fields := setFields(policy)
-		for _, selector := range []string{"", policy.Selector} {
-			for _, other := range later[selector] {
+		for _, matching := range []string{"", policy.Selector} {
+			for _, other := range later[matching] {
 				hides := !slices.Contains(fields, "Where") && isSubset(fields, setFields(other))
 				if hides && (hidingPolicies[index] == nil || other.Name < hidingPolicies[index].Name) {
 					hidingPolicies[index] = other
