--- a/internal/config/checker/differences.go
+++ b/internal/config/checker/differences.go
@@ -170,6 +170,13 @@
 
 // comparePolicies tells what a configuration of policies and teams changes.
 func (check *check) comparePolicies(before, after parser.Config) {
+	fields := map[string]string{}
+	for index, policy := range after.Policies {
+		fields["Policy "+policy.Name] = fmt.Sprintf("Policies[%d]", index)
+	}
+	for index, team := range after.Teams {
+		fields["Team "+team.Name] = fmt.Sprintf("Teams[%d]", index)
+	}
 	for _, change := range parser.Diff(before, after) {
 		verb := "changes"
 		switch {
@@ -178,7 +185,7 @@
 		case change.After == "":
 			verb = "is removed"
 		}
-		check.note("ItemChanged", "", "%s %s, for work that waits and for what is submitted", change.Item, verb)
+		check.note("ItemChanged", fields[change.Item], "%s %s, for work that waits and for what is submitted", change.Item, verb)
 	}
 	quotas := map[string]descriptor.Resources{}
 	for _, team := range before.Teams {
