--- a/internal/client/commander/config.go
+++ b/internal/client/commander/config.go
@@ -183,12 +183,17 @@
 	strict := decoder.Decode(document, &decoded)
 	parsed, err := parser.Parse(bytes.TrimSpace(document))
 	if err == nil {
-		config.configuration, config.remarks = checker.Policies{Config: parsed}, strict
+		config.configuration = checker.Policies{
+			Config: parsed,
+		}
+		config.remarks = strict
 		return config
 	}
 	// The decoder names the field of each fault, and the parser what it refuses beyond that.
 	_, compileErr := parser.Compile(0, decoded)
-	config.configuration = checker.Policies{Config: decoded}
+	config.configuration = checker.Policies{
+		Config: decoded,
+	}
 	config.faults = append(strict, splitErrors(compileErr)...)
 	if len(config.faults) == 0 {
 		config.faults = splitErrors(err)
--- a/internal/config/checker/cell.go
+++ b/internal/config/checker/cell.go
@@ -50,7 +50,10 @@
 	addresses := map[address]int{}
 	for index := range config.Queues {
 		queue := &config.Queues[index]
-		own := address{host: queue.Host, prefix: queue.Prefix}
+		own := address{
+			host:   queue.Host,
+			prefix: queue.Prefix,
+		}
 		if names[queue.Name] {
 			check.warn("QueueRepeated", queueField(index, ".Name"), "queue %q stands twice: the policy of the first one counts for the jobs of both", queue.Name)
 		}
@@ -67,7 +70,11 @@
 		if queue.Prefix != "" {
 			continue
 		}
-		if other, known := addresses[address{host: queue.Host, prefix: "/"}]; known {
+		slash := address{
+			host:   queue.Host,
+			prefix: "/",
+		}
+		if other, known := addresses[slash]; known {
 			check.warn("QueueHidden", queueField(index, ".Prefix"), "queue %q gets no call: the prefix \"/\" of queue %q is longer and matches every path",
 				queue.Name, config.Queues[other].Name)
 		}
--- a/internal/config/checker/policies.go
+++ b/internal/config/checker/policies.go
@@ -155,23 +155,19 @@
 // setFields returns the names of the fields by which a policy changes the effective policy.
 func setFields(policy *parser.Policy) []string {
 	var fields []string
-	for _, field := range []struct {
-		name string
-		set  bool
-	}{
-		{name: "Urgency", set: policy.Urgency != ""},
-		{name: "Where", set: policy.Where != ""},
-		{name: "Spread", set: policy.Spread != ""},
-		{name: "Lane", set: policy.Lane != ""},
-		{name: "MaxAttempts", set: policy.MaxAttempts != 0},
-		{name: "Preemptible", set: policy.Preemptible != nil},
-		{name: "Hold", set: policy.Hold != nil},
-		{name: "Timeout", set: policy.Timeout.Duration != 0},
-	} {
-		if field.set {
-			fields = append(fields, field.name)
+	add := func(name string, set bool) {
+		if set {
+			fields = append(fields, name)
 		}
 	}
+	add("Urgency", policy.Urgency != "")
+	add("Where", policy.Where != "")
+	add("Spread", policy.Spread != "")
+	add("Lane", policy.Lane != "")
+	add("MaxAttempts", policy.MaxAttempts != 0)
+	add("Preemptible", policy.Preemptible != nil)
+	add("Hold", policy.Hold != nil)
+	add("Timeout", policy.Timeout.Duration != 0)
 	return fields
 }
 
