--- a/cmd/pomelomoor/main.go
+++ b/cmd/pomelomoor/main.go
@@ -12,8 +12,10 @@
 	"syscall"
 
 	"pomelomoor/internal/client/commander"
+	"pomelomoor/internal/config/checker"
 	"pomelomoor/internal/entry/assembler"
 	"pomelomoor/internal/node/loader"
+	"pomelomoor/platform"
 )
 
 func main() {
@@ -23,7 +25,11 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program := &commander.Program{
+	return newProgram().Run(ctx, os.Args[1:])
+}
+
+func newProgram() *commander.Program {
+	return &commander.Program{
 		Stdin:   os.Stdin,
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
@@ -31,8 +37,19 @@
 		Entry:   runEntry,
 		Node:    runNode,
 		Local:   runLocal,
+		CellForm: &commander.CellForm{
+			Recognise: platform.IsConfig,
+			Parse:     parseCell,
+			Field:     platform.ConfigField,
+		},
 	}
-	return program.Run(ctx, os.Args[1:])
+}
+
+func parseCell(document []byte) (checker.Cell, []error) {
+	config, faults := platform.InspectConfig(document)
+	return checker.Cell{
+		Config: config,
+	}, faults
 }
 
 // started is the line that an entry instance prints to standard output with the addresses it listens on.
