--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -255,8 +255,8 @@
 	}
 }
 
-// isReserved reports whether the step that is being placed has to leave the worker to a gang: it can wait, or its delay
-// costs callers less and the gang's queue is not below its own.
+// isReserved reports whether the step that is being placed has to leave the worker to a gang: it can wait, or its queue is
+// below that of the gang, or its delay costs callers less and its queue is not above that of the gang.
 func (scheduler *Scheduler) isReserved(worker *worker, step *step) bool {
 	priority, reserved := scheduler.reserved[worker.id]
 	return reserved && (scheduler.deferrable || step.job.policy.Priority > priority || scheduler.givesWay && step.job.policy.Priority >= priority)
--- a/internal/cell/scheduler/script_test.go
+++ b/internal/cell/scheduler/script_test.go
@@ -247,6 +247,7 @@
 			Service:          script.service(options),
 			MaxAttempts:      script.count(options, "attempts", 3),
 			SlackFactor:      2,
+			Priority:         script.count(options, "priority", 0),
 			LatencyAllowance: time.Duration(script.count(options, "allowance", 1000)) * time.Millisecond,
 		},
 		Name: name,
--- a/internal/cell/scheduler/yielding.go
+++ b/internal/cell/scheduler/yielding.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 		}
 	}
 	slices.SortFunc(jobs, func(left, right *job) int {
-		return left.Submitted.Compare(right.Submitted)
+		return cmp.Or(left.Submitted.Compare(right.Submitted), cmp.Compare(left.ID, right.ID))
 	})
 	for _, job := range jobs {
 		job.excess = !job.account.Arrive(job.Submitted)
--- a/internal/placement/yielder/yielder.go
+++ b/internal/placement/yielder/yielder.go
@@ -71,7 +71,15 @@
 }
 
 func (keptWork *keptWork) Less(left, right int) bool {
-	return keptWork.items[keptWork.indices[left]].yieldsBefore(&keptWork.items[keptWork.indices[right]])
+	first, second := keptWork.indices[left], keptWork.indices[right]
+	switch {
+	case keptWork.items[first].yieldsBefore(&keptWork.items[second]):
+		return true
+	case keptWork.items[second].yieldsBefore(&keptWork.items[first]):
+		return false
+	default:
+		return first > second
+	}
 }
 
 func (keptWork *keptWork) Swap(left, right int) {
