admitter: callers without a key see no organisation's job

A call to a public queue has no organisation, and a caller without one could see and cancel every job whose ID it knew: more than another organisation's valid key may. The same held for a moment when there was no leader: a job that ended between the reads of its record and of its description counted as one without an owner.

A route tells that it is public: its callers see only jobs that have no organisation (410, and 409 for a submission with the ID of one that has). Where no call needs a key, all jobs are open as before. A record that has lost its description is read again, and one that appears where there was none counts. TestOtherOrganisationsJobs, TestStateFromLeader and TestStateOfEndingJob have the cases.

--- a/internal/cell/admitter/admitter.go
+++ b/internal/cell/admitter/admitter.go
@@ -164,6 +164,7 @@
 	route = describer.Route{
 		Queue:        queue,
 		Organisation: organisation,
+		Public:       config.KeysRequired && queue.Public,
 		Rest:         rest,
 		MaxBodyBytes: config.MaxBodyBytes,
 	}
@@ -264,7 +265,7 @@
 			return rejectedForConfig("configuration has changed")
 		}
 		// The job was already stored, by an earlier attempt of this call or by an earlier call.
-		return checkOwner(route.Organisation, conflict)
+		return checkOwner(route, conflict)
 	}
 	if err == nil {
 		admitter.announce(value, "")
@@ -298,11 +299,11 @@
 	return nil
 }
 
-// checkOwner returns ErrOtherJob if the job that is in the store under the ID of a submission belongs to an organisation
-// that the caller is not of.
-func checkOwner(organisation string, conflict *describer.ConflictError) error {
+// checkOwner returns ErrOtherJob if the job that is in the store under the ID of a submission is one that the caller may not
+// see.
+func checkOwner(route describer.Route, conflict *describer.ConflictError) error {
 	for _, item := range conflict.Items {
-		if owner := ownerOf(item.Value); !describer.MaySee(organisation, owner) {
+		if owner := ownerOf(item.Value); !route.MaySee(owner) {
 			return describer.ErrOtherJob
 		}
 	}
@@ -386,51 +387,57 @@
 		status, err := admitter.options.State(callCtx, leader, id)
 		cancel()
 		if err == nil && status.State != describer.JobUnknown {
-			return seenBy(route.Organisation, status.Organisation, status.State)
+			return seenBy(route, status.Organisation, status.State)
 		}
 	}
-	return admitter.stateFromStore(ctx, route.Organisation, id)
+	return admitter.stateFromStore(ctx, route, id)
 }
 
-// seenBy returns state, or ErrNoJob if callers of organisation may not see a job of owner.
-func seenBy(organisation, owner string, state describer.JobState) (describer.JobState, error) {
-	if !describer.MaySee(organisation, owner) {
+// seenBy returns state, or ErrNoJob if the caller may not see a job of owner.
+func seenBy(route describer.Route, owner string, state describer.JobState) (describer.JobState, error) {
+	if !route.MaySee(owner) {
 		return describer.JobUnknown, describer.ErrNoJob
 	}
 	return state, nil
 }
 
 // stateFromStore reads the state of a job from the store. A job without a record is queued.
-func (admitter *Admitter) stateFromStore(ctx context.Context, organisation string, id describer.JobID) (describer.JobState, error) {
-	item, err := admitter.read(ctx, persister.RecordPrefix+string(id))
+func (admitter *Admitter) stateFromStore(ctx context.Context, route describer.Route, id describer.JobID) (describer.JobState, error) {
+	jobRecord, err := admitter.readRecord(ctx, id)
 	switch {
-	case err == nil:
-		// The error is logged with the answer to the caller.
-		jobRecord, err := scheduler.ParseRecord(item.Value)
-		if err != nil {
-			return describer.JobUnknown, err
-		}
-		if jobRecord.State.Final() || organisation == "" {
-			return seenBy(organisation, jobRecord.Organisation, jobRecord.State)
-		}
-		// Only the description of a job that goes on tells whose it is.
-		description, err := admitter.read(ctx, persister.JobPrefix+string(id))
-		if err != nil && !errors.Is(err, describer.ErrNotFound) {
-			return describer.JobUnknown, err
-		}
-		return seenBy(organisation, ownerOf(description.Value), jobRecord.State)
-	case !errors.Is(err, describer.ErrNotFound):
+	case errors.Is(err, describer.ErrNotFound):
+		jobRecord.State = describer.JobQueued
+	case err != nil:
 		return describer.JobUnknown, err
+	case jobRecord.State.Final() || route.MaySeeAll():
+		return seenBy(route, jobRecord.Organisation, jobRecord.State)
 	}
+	// Only the description of a job that goes on tells whose it is.
 	description, err := admitter.read(ctx, persister.JobPrefix+string(id))
 	switch {
 	case err == nil:
-		return seenBy(organisation, ownerOf(description.Value), describer.JobQueued)
-	case errors.Is(err, describer.ErrNotFound):
-		return describer.JobUnknown, describer.ErrNoJob
-	default:
+		return seenBy(route, ownerOf(description.Value), jobRecord.State)
+	case !errors.Is(err, describer.ErrNotFound):
+		return describer.JobUnknown, err
+	}
+	// The job has ended since its record was read, or there is none.
+	jobRecord, err = admitter.readRecord(ctx, id)
+	if errors.Is(err, describer.ErrNotFound) {
+		err = describer.ErrNoJob
+	}
+	if err != nil {
 		return describer.JobUnknown, err
 	}
+	return seenBy(route, jobRecord.Organisation, jobRecord.State)
+}
+
+func (admitter *Admitter) readRecord(ctx context.Context, id describer.JobID) (scheduler.Record, error) {
+	item, err := admitter.read(ctx, persister.RecordPrefix+string(id))
+	if err != nil {
+		return scheduler.Record{}, err
+	}
+	// An error is logged with the answer to the caller.
+	return scheduler.ParseRecord(item.Value)
 }
 
 // read reads a key and retries while the store is reachable and the caller's deadline allows it.
@@ -462,12 +469,12 @@
 	for {
 		job, err := admitter.read(ctx, key)
 		if errors.Is(err, describer.ErrNotFound) {
-			return admitter.checkEnded(ctx, route.Organisation, id)
+			return admitter.checkEnded(ctx, route, id)
 		}
 		if err != nil {
 			return err
 		}
-		if !describer.MaySee(route.Organisation, ownerOf(job.Value)) {
+		if !route.MaySee(ownerOf(job.Value)) {
 			return describer.ErrNoJob
 		}
 		change := describer.Change{
@@ -499,11 +506,11 @@
 	}
 }
 
-// checkEnded returns nil if the job has a record, that is, if it has ended, and ErrNoJob if it is unknown or belongs to
-// another organisation.
-func (admitter *Admitter) checkEnded(ctx context.Context, organisation string, id describer.JobID) error {
+// checkEnded returns nil if the job has a record, that is, if it has ended, and ErrNoJob if it is unknown the caller may
+// not see it.
+func (admitter *Admitter) checkEnded(ctx context.Context, route describer.Route, id describer.JobID) error {
 	record, err := admitter.read(ctx, persister.RecordPrefix+string(id))
-	if errors.Is(err, describer.ErrNotFound) || err == nil && !describer.MaySee(organisation, ownerOf(record.Value)) {
+	if errors.Is(err, describer.ErrNotFound) || err == nil && !route.MaySee(ownerOf(record.Value)) {
 		return describer.ErrNoJob
 	}
 	return err
--- a/internal/cell/admitter/organisations_test.go
+++ b/internal/cell/admitter/organisations_test.go
@@ -66,8 +66,8 @@
 // organisationCases is the content of testdata/organisations.json.
 type organisationCases struct {
 	Routes []struct {
-		Name, Path, Key, Organisation, Want      string
-		Unconfirmed, FailClosed, Open, Condition bool
+		Name, Path, Key, Organisation, Want              string
+		Unconfirmed, FailClosed, Open, Condition, Public bool
 	}
 	Submissions []struct {
 		Name, Organisation, StoredKey, Stored, Want string
@@ -125,6 +125,9 @@
 		}
 		route, err := admitter.Route(context.Background(), call)
 		checkOutcome(t, test.Name, test.Want, err)
+		if route.Public != test.Public {
+			t.Errorf("%s: public %v", test.Name, route.Public)
+		}
 		if route.Organisation != test.Organisation || (route.Condition != nil) != test.Condition {
 			t.Errorf("%s: organisation %q, condition %v", test.Name, route.Organisation, route.Condition)
 		}
@@ -140,35 +143,82 @@
 	persister.JobPrefix + "former":     `{}`,
 }
 
+// routeOf returns the route of a call with a key of organisation, or if it is empty of a call to a public queue.
 func routeOf(organisation string) describer.Route {
 	return describer.Route{
 		Queue: &describer.Queue{
 			Name: "plain",
 		},
 		Organisation: organisation,
+		Public:       organisation == "",
 	}
 }
 
-// TestOtherOrganisationsJobs guards against callers who learn the state of another organisation's job, or cancel it, and
-// against owners who do not. A job that was accepted before there were keys is open to all.
+// TestOtherOrganisationsJobs guards against callers, with another organisation's key or at a public queue, who learn the state
+// of an organisation's job or cancel it, and against owners who do not. A job that was accepted before there were keys is open to all.
 func TestOtherOrganisationsJobs(t *testing.T) {
 	for _, id := range []describer.JobID{"waiting", "running", "ended", "former", "none"} {
-		for _, organisation := range []string{"north", "south"} {
+		for _, organisation := range []string{"north", "south", ""} {
 			store := &fakeStore{
 				values: ownedJobs,
 			}
 			admitter := newAdmitter(store, true)
-			hidden := id == "none" || organisation == "south" && id != "former"
+			hidden := id == "none" || organisation != "north" && id != "former"
 			_, err := admitter.State(context.Background(), routeOf(organisation), id)
 			if errors.Is(err, describer.ErrNoJob) != hidden || !hidden && err != nil {
-				t.Errorf("state of %s for %s: %v", id, organisation, err)
+				t.Errorf("state of %s for %q: %v", id, organisation, err)
 			}
 			err = admitter.Cancel(context.Background(), routeOf(organisation), id)
 			if errors.Is(err, describer.ErrNoJob) != hidden || !hidden && err != nil {
-				t.Errorf("cancellation of %s for %s: %v", id, organisation, err)
+				t.Errorf("cancellation of %s for %q: %v", id, organisation, err)
 			}
 			if hidden && store.commits > 0 {
-				t.Errorf("cancellation of %s for %s was stored", id, organisation)
+				t.Errorf("cancellation of %s for %q was stored", id, organisation)
+			}
+		}
+	}
+}
+
+// endingStore is a store in which a job of north ends after its record was read first.
+type endingStore struct {
+	fakeStore
+
+	reads int
+}
+
+func (endingStore *endingStore) Read(ctx context.Context, key string) (describer.Item, error) {
+	endingStore.reads++
+	if endingStore.reads == 2 {
+		endingStore.values = map[string]string{
+			persister.RecordPrefix + "a": `{"State":3,"Organisation":"north"}`,
+		}
+	}
+	return endingStore.fakeStore.Read(ctx, key)
+}
+
+// TestStateOfEndingJob guards against a job that counts as one without an owner, or as unknown, since it ended between the
+// reads of its record and of its description.
+func TestStateOfEndingJob(t *testing.T) {
+	for _, record := range []string{"", `{"State":2}`} {
+		for organisation, want := range map[string]error{
+			"north": nil,
+			"south": describer.ErrNoJob,
+		} {
+			store := &endingStore{
+				fakeStore: fakeStore{
+					values: map[string]string{
+						persister.JobPrefix + "a": `{"Organisation":"north"}`,
+					},
+				},
+			}
+			if record != "" {
+				store.values[persister.RecordPrefix+"a"] = record
+			}
+			admitter := newAdmitter(&store.fakeStore, true)
+			admitter.options.Store = store
+			state, err := admitter.State(context.Background(), routeOf(organisation), "a")
+			if !errors.Is(err, want) || want == nil && state != describer.JobCompleted {
+				t.Errorf("record %s, %s: state %s, error %v, want %v", record, organisation, state, err, want)
 			}
 		}
 	}
@@ -179,6 +229,7 @@
 	for organisation, want := range map[string]error{
 		"north": nil,
 		"south": describer.ErrNoJob,
+		"":      describer.ErrNoJob,
 	} {
 		admitter := newAdmitter(&fakeStore{}, true)
 		admitter.options.Leader = func() netip.AddrPort {
--- a/internal/cell/describer/callers.go
+++ b/internal/cell/describer/callers.go
@@ -32,6 +32,8 @@
 	Queue *Queue
 	// Organisation is the name of the organisation that makes the call; empty if the call needs no key.
 	Organisation string
+	// Public means that the call needs no key although calls to other queues do.
+	Public bool
 	// Rest is the path after the prefix of the queue.
 	Rest string
 	// MaxBodyBytes is the largest accepted request body; 0 means no limit.
@@ -41,6 +43,17 @@
 	Condition *Expectation
 }
 
+// MaySee reports whether the caller may see and cancel a job of owner. Jobs without an owner were accepted without a key,
+// and where no call needs a key all jobs are open, also those of a time in which calls did.
+func (route *Route) MaySee(owner string) bool {
+	return owner == "" || owner == route.Organisation || route.MaySeeAll()
+}
+
+// MaySeeAll reports whether the caller may see and cancel every job.
+func (route *Route) MaySeeAll() bool {
+	return route.Organisation == "" && !route.Public
+}
+
 // Frontend is the caller-facing API of one instance.
 type Frontend interface {
 	// Ready reports whether the instance accepts new connections.
@@ -50,9 +63,9 @@
 	// Submit stores a job in the queue of a route. After a RejectedError or ErrOtherJob the job never runs; after
 	// ErrUncertain it may run.
 	Submit(ctx context.Context, route Route, job *Job) error
-	// State returns the state of a job or ErrNoJob, also for a job that the route's organisation may not see.
+	// State returns the state of a job or ErrNoJob, also for a job that the route's caller may not see.
 	State(ctx context.Context, route Route, id JobID) (JobState, error)
-	// Cancel cancels a job. The error is ErrNoJob, also for a job that the route's organisation may not see, a
+	// Cancel cancels a job. The error is ErrNoJob, also for a job that the route's caller may not see, a
 	// RejectedError or ErrUncertain.
 	Cancel(ctx context.Context, route Route, id JobID) error
 	// Pending returns the number of jobs of a queue that have not started.
--- a/internal/cell/describer/organisation.go
+++ b/internal/cell/describer/organisation.go
@@ -85,9 +85,3 @@
 	}
 	return organisation, nil
 }
-
-// MaySee reports whether callers of organisation may see and cancel a job of owner. Jobs without an owner were accepted
-// without a key, and calls without an organisation go to a public queue.
-func MaySee(organisation, owner string) bool {
-	return organisation == owner || organisation == "" || owner == ""
-}
