integration: real processes with keys

No test with real processes showed that calls need a key, when a key that a version adds or removes is in force, and what another organisation's key does.

--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -86,6 +86,12 @@
 
 // newCell starts a fake platform and the instances, and waits until they are ready.
 func newCell(t *testing.T, instances, workers int, queues ...standin.Queue) *cell {
+	t.Helper()
+	return newTenantCell(t, instances, workers, nil, queues...)
+}
+
+// newTenantCell starts a cell whose callers need the keys of tenants, unless that is nil.
+func newTenantCell(t *testing.T, instances, workers int, tenants []standin.Tenant, queues ...standin.Queue) *cell {
 	t.Helper()
 	cell := &cell{
 		t:     t,
@@ -109,6 +115,9 @@
 	}
 	t.Cleanup(stop)
 	cell.site = site
+	if tenants != nil {
+		site.SetTenants(tenants...)
+	}
 	if err := site.Configure(queues...); err != nil {
 		t.Fatal(err)
 	}
@@ -249,30 +258,58 @@
 
 // call makes a call to an instance as a caller does. It returns the status, or 0 without a response, and the body.
 func (cell *cell) call(method string, instance int, path string, body any) (int, []byte) {
+	answer := cell.callWith(method, instance, path, body)
+	return answer.status, answer.body
+}
+
+// callWithKey makes a call with a key. An empty key is left out.
+func (cell *cell) callWithKey(key, method string, instance int, path string, body any) answer {
+	if key == "" {
+		return cell.callWith(method, instance, path, body)
+	}
+	return cell.callWith(method, instance, path, body, "Bearer "+key)
+}
+
+// answer is a response to a caller. Its status is 0 without one.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// callWith makes a call with Authorization headers.
+func (cell *cell) callWith(method string, instance int, path string, body any, authorizations ...string) answer {
 	var encoded []byte
 	if body != nil {
 		var err error
 		if encoded, err = json.Marshal(body); err != nil {
 			cell.t.Error(err)
-			return 0, nil
+			return answer{}
 		}
 	}
 	request, err := http.NewRequest(method, "http://"+cell.site.Front(instance).String()+path, bytes.NewReader(encoded))
 	if err != nil {
 		cell.t.Error(err)
-		return 0, nil
+		return answer{}
 	}
 	request.Host = standin.Host
+	for _, authorization := range authorizations {
+		request.Header.Add("Authorization", authorization)
+	}
 	response, err := cell.client.Do(request)
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil
+		return answer{}
+	}
+	return answer{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   content,
 	}
-	return response.StatusCode, content
 }
 
 // job returns the body of a submission with one step.
@@ -295,22 +332,31 @@
 
 // state queries an instance for the state of a job. The state is empty without a response.
 func (cell *cell) state(instance int, path string) (status int, state string) {
-	status, body := cell.call(http.MethodGet, instance, path, nil)
+	return cell.stateWithKey("", instance, path)
+}
+
+func (cell *cell) stateWithKey(key string, instance int, path string) (status int, state string) {
+	answer := cell.callWithKey(key, http.MethodGet, instance, path, nil)
 	var response struct {
 		State string
 	}
-	if status == http.StatusOK && json.Unmarshal(body, &response) != nil {
+	if answer.status == http.StatusOK && json.Unmarshal(answer.body, &response) != nil {
 		return 0, ""
 	}
-	return status, response.State
+	return answer.status, response.State
 }
 
 // awaitState waits until every instance reports the state want.
 func (cell *cell) awaitState(path, want string) {
+	cell.t.Helper()
+	cell.awaitStateWithKey("", path, want)
+}
+
+func (cell *cell) awaitStateWithKey(key, path, want string) {
 	cell.t.Helper()
 	cell.await(settleTimeout, path+" to be "+want, func() bool {
 		for index := range cell.instances {
-			if _, state := cell.state(index, path); state != want {
+			if _, state := cell.stateWithKey(key, index, path); state != want {
 				return false
 			}
 		}
--- a/integration/cell/config_test.go
+++ b/integration/cell/config_test.go
@@ -182,7 +182,7 @@
 			var callers sync.WaitGroup
 			for _, instance := range cell.instances {
 				callers.Go(func() {
-					cell.checkConfig(instance.index, acknowledged)
+					cell.checkConfig(instance.index, acknowledged, routeProbes)
 				})
 			}
 			callers.Wait()
@@ -190,27 +190,43 @@
 	}
 }
 
-// checkConfig calls an instance by the routes that a change added and removed, and checks that the change is in force in
-// time and does not revert. Responses with one of the neutral statuses tell nothing.
-func (cell *cell) checkConfig(instance int, acknowledged time.Time, neutral ...int) {
+// probe is a call by which a test observes which configuration is in force, and its status once the newest is.
+type probe struct {
+	path string
+	key  string
+	want int
+}
+
+// routeProbes observe the routes that a change added and removed.
+var routeProbes = []probe{
+	{
+		path: addedQueue.Prefix,
+		want: http.StatusOK,
+	},
+	{
+		path: removedQueue.Prefix,
+		want: http.StatusNotFound,
+	},
+}
+
+// checkConfig makes the calls of probes to an instance and checks that a change is in force in time and does not revert.
+// Responses with one of the neutral statuses tell nothing.
+func (cell *cell) checkConfig(instance int, acknowledged time.Time, probes []probe, neutral ...int) {
 	var first time.Time
 	for time.Since(acknowledged) < configApplyTime+configCheckTime {
-		for path, status := range map[string]int{
-			addedQueue.Prefix:   http.StatusOK,
-			removedQueue.Prefix: http.StatusNotFound,
-		} {
+		for _, probe := range probes {
 			sent := time.Now()
-			got, _ := cell.call(http.MethodGet, instance, path, nil)
+			got := cell.callWithKey(probe.key, http.MethodGet, instance, probe.path, nil).status
 			switch {
 			case slices.Contains(neutral, got):
-			case got == status && first.IsZero():
+			case got == probe.want && first.IsZero():
 				first = time.Now()
-			case got == status:
+			case got == probe.want:
 			case sent.Sub(acknowledged) > configApplyTime:
-				cell.t.Errorf("instance %d: status %d for %s %s after the change, want %d", instance, got, path, sent.Sub(acknowledged), status)
+				cell.t.Errorf("instance %d: status %d for %s %s after the change, want %d", instance, got, probe.path, sent.Sub(acknowledged), probe.want)
 				return
 			case !first.IsZero() && sent.Sub(first) > rollbackTime:
-				cell.t.Errorf("instance %d: status %d for %s %s after the change was in force, want %d", instance, got, path, sent.Sub(first), status)
+				cell.t.Errorf("instance %d: status %d for %s %s after the change was in force, want %d", instance, got, probe.path, sent.Sub(first), probe.want)
 				return
 			}
 		}
--- a/integration/cell/soak_config_test.go
+++ b/integration/cell/soak_config_test.go
@@ -124,7 +124,7 @@
 	var callers sync.WaitGroup
 	for index := range cell.instances {
 		callers.Go(func() {
-			cell.checkConfig(index, acknowledged, http.StatusServiceUnavailable)
+			cell.checkConfig(index, acknowledged, routeProbes, http.StatusServiceUnavailable)
 		})
 	}
 	callers.Wait()
