--- a/integration/cell/keys_test.go
+++ b/integration/cell/keys_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -64,6 +66,7 @@
 			cell.t.Errorf("instance %d has logged nothing", instance.index)
 		}
 		check(instance.log, log)
+		check("the metrics", instance.metrics())
 	}
 	for key, value := range cell.site.Store.Written() {
 		if key == "op/config" {
@@ -73,6 +76,21 @@
 	}
 }
 
+// metrics returns the metrics of an instance once it has reported some.
+func (instance *instance) metrics() (metrics []byte) {
+	instance.cell.t.Helper()
+	instance.cell.await(startTimeout, fmt.Sprintf("metrics of instance %d", instance.index), func() bool {
+		response, err := instance.cell.client.Get("http://" + instance.cell.site.Metrics(instance.index).String() + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		metrics, err = io.ReadAll(response.Body)
+		return err == nil && len(metrics) > 0
+	})
+	return metrics
+}
+
 // TestKeys guards against calls without a valid key that are served, against a key that a log or an entry of the store
 // holds, and against a public queue that asks for one.
 func TestKeys(t *testing.T) {
