scheduler: the model checks the cap of an organisation

The model of restarts had no organisations. TestCapsProperty lets two of its jobs belong to one with a cap of 2 to 6 tasks that changes up to twice, and checks every start against the highest cap that may be in force, over its faults: changes of leader, restarts, cuts, late orders, slow stores. The check is stricter than the rule: no overage and no task more, since single tasks keep to the cap. A change counts from the apply time and the latest order on, and a leader never goes back to an older version.

--- a/internal/cell/scheduler/incarnations_cell_test.go
+++ b/internal/cell/scheduler/incarnations_cell_test.go
@@ -134,9 +134,13 @@
 	faults       []span
 	gaps         []gap
 	gaveUp       bool
+	// caps are the caps that the organisation of the jobs that end has had; nil if they have none.
+	caps            []capChange
+	livenessTimeout time.Duration
 }
 
-func newCell(t *rapid.T) *cell {
+// newCell returns a cell. If limit is not 0 the jobs that end belong to an organisation with a cap of that many tasks.
+func newCell(t *rapid.T, limit int) *cell {
 	cell := &cell{
 		T:      t,
 		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
@@ -158,11 +162,18 @@
 		usualFaultShare:  drawOne(t, []float64{0, 0.02, 0.1}, "share of calls that go wrong"),
 		storeDelay:       usualStoreDelay,
 		entriesHaveClock: rapid.Bool().Draw(t, "entries have a clock"),
+		livenessTimeout:  livenessTimeout,
+	}
+	if limit > 0 {
+		cell.setCap(limit)
 	}
 	cell.faultShare = cell.usualFaultShare
 	cell.failureShare = drawOne(t, []float64{0.1, 0.6}, "share of runs that fail")
 	cell.addJob("a", cellTasks, false)
 	cell.addJob("b", cellLasting, true)
+	if limit > 0 {
+		cell.addJob("c", cellCapped, false)
+	}
 	for index := range cellWorkers {
 		worker := &cellWorker{
 			cell: cell,
@@ -177,7 +188,7 @@
 }
 
 func (cell *cell) addJob(id describer.JobID, count int, lasting bool) {
-	cell.jobs = append(cell.jobs, &describer.Job{
+	job := &describer.Job{
 		ID:        id,
 		Queue:     "q",
 		Submitted: cell.now,
@@ -186,10 +197,14 @@
 			Estimate:  time.Second,
 			Perpetual: lasting,
 			Needs: descriptor.Resources{
-				MilliCPU: 1000,
+				MilliCPU: cellMilliCPU,
 			},
 		}},
-	})
+	}
+	if cell.caps != nil && !lasting {
+		job.Organisation = cellOrganisation
+	}
+	cell.jobs = append(cell.jobs, job)
 	for index := range count {
 		task := &cellTask{
 			id: describer.TaskID{
@@ -284,6 +299,7 @@
 	task.facts = append(task.facts, &fact{
 		start: true,
 	})
+	cell.checkCap(id)
 	cell.checkFacts(task)
 }
 
@@ -341,7 +357,7 @@
 
 // finish plays on without faults until the job is over and the lasting tasks run.
 func (cell *cell) finish() {
-	end := cell.now.Add(livenessTimeout)
+	end := cell.now.Add(cell.livenessTimeout)
 	cell.run(cell.now.Add(maxLateness))
 	for cell.now.Before(end) {
 		cell.run(cell.now.Add(time.Second))
@@ -349,19 +365,24 @@
 			return
 		}
 	}
-	cell.violated(checkLiveness, "after %s without faults job a is %s and the lasting tasks run: %t", livenessTimeout,
+	cell.violated(checkLiveness, "after %s without faults job a is %s and the lasting tasks run: %t", cell.livenessTimeout,
 		cell.leader.scheduler.State("a"), cell.lastingRun())
 }
 
 func (cell *cell) settled() bool {
-	switch cell.leader.scheduler.State("a") {
-	case describer.JobCompleted:
-	case describer.JobFailed:
-		if !cell.gaveUp && !cell.failedTooOften() {
-			cell.violated(checkLiveness, "the job has failed without cause")
+	for _, job := range cell.jobs {
+		if job.Steps[0].Perpetual {
+			continue
+		}
+		switch cell.leader.scheduler.State(job.ID) {
+		case describer.JobCompleted:
+		case describer.JobFailed:
+			if !cell.gaveUp && !cell.failedTooOften() {
+				cell.violated(checkLiveness, "job %s has failed without cause", job.ID)
+			}
+		default:
+			return false
 		}
-	default:
-		return false
 	}
 	return cell.lastingRun()
 }
--- a/internal/cell/scheduler/incarnations_test.go
+++ b/internal/cell/scheduler/incarnations_test.go
@@ -179,7 +179,14 @@
 
 // playCell plays a cell with faults that are drawn at random, and after them until all is done.
 func playCell(t *rapid.T, forgets []forgetting) []gap {
-	cell := newCell(t)
+	cell := newCell(t, 0)
+	cell.playFaults(forgets)
+	return cell.gaps
+}
+
+// playFaults plays faults that are drawn at random, and after them until all is done.
+func (cell *cell) playFaults(forgets []forgetting) {
+	t := cell.T
 	cell.forgets = drawOne(t, forgets, "forgets")
 	var faultsEnd time.Duration
 	for _, fault := range rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "faults") {
@@ -188,7 +195,6 @@
 	cell.run(scriptStart.Add(faultsEnd))
 	cell.faultShare = 0
 	cell.finish()
-	return cell.gaps
 }
 
 // TestIncarnationsProperty guards against two runs of a task at the same time, against runs of tasks that have ended done
--- a/internal/cell/scheduler/incarnations_worker_test.go
+++ b/internal/cell/scheduler/incarnations_worker_test.go
@@ -222,7 +222,7 @@
 		Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), worker.port),
 		Incarnation: worker.incarnation(),
 		Capacity: descriptor.Resources{
-			MilliCPU:    cellSlots * 1000,
+			MilliCPU:    cellSlots * cellMilliCPU,
 			MemoryBytes: 1 << 40,
 		},
 	}
