observer: what each organisation has running and waiting, and what a version changes for it

Operators saw the calls of an organisation and nothing of its caps, shares and keys.

The leader's report of the load has each organisation's use, share, entitled share, share of the cap, waiting tasks and those that the cap keeps waiting; they are gauges with the tag Organisation, and OrganisationCapped (942, DEBUG) while the cap keeps tasks waiting. OrganisationChanged (941) logs what a version changes for an organisation, with the first digits of the digests of keys.

--- a/internal/cell/leader/load.go
+++ b/internal/cell/leader/load.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
 )
 
@@ -33,6 +34,8 @@
 	// WaitingAdvice counts the requests that wait for an instance, WaitingStarts the starts that wait to be sent, and
 	// OpenStarts and OpenStops the orders that wait for an answer.
 	WaitingAdvice, WaitingStarts, OpenStarts, OpenStops int
+	// Organisations is the load of each organisation.
+	Organisations []scheduler.OrganisationLoad
 }
 
 // loadMeter collects the load of the current interval. The leader's mutex guards it.
@@ -69,6 +72,7 @@
 			load.LongestPause = max(load.LongestPause, now.Sub(leader.meter.lastPass))
 		}
 		load.Jobs, load.WaitingSteps, load.OverdueSteps = leader.scheduler.Backlog(now)
+		load.Organisations = leader.scheduler.OrganisationLoads()
 		leader.mutex.Unlock()
 		load.Interval = now.Sub(start)
 		load.Processor = processorNow - processorStart
--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -32,6 +32,11 @@
 	// configOverdue means that the configuration was last reported as overdue.
 	configOverdue atomic.Bool
 
+	// config is the configuration that came into force last.
+	config atomic.Pointer[describer.Config]
+	// organisations limits the organisations that have metrics of their own.
+	organisations nameLimiter
+
 	// unreadable limits the lines about entries that cannot be read.
 	unreadable entryLimiter
 
@@ -270,6 +275,9 @@
 		slog.Int("WaitingStarts", load.WaitingStarts),
 		slog.Int("OpenStarts", load.OpenStarts),
 		slog.Int("OpenStops", load.OpenStops))
+	for index := range load.Organisations {
+		observer.organisationLoaded(&load.Organisations[index])
+	}
 }
 
 // Contained logs and counts a panic that was contained to one item, with the stack of its goroutine.
@@ -292,7 +300,7 @@
 	}
 	if result.Organisation != "" {
 		attributes = append(attributes, slog.String("Organisation", result.Organisation))
-		observer.count("Organisations.Calls", "Organisation", result.Organisation, "Outcome", result.Outcome)
+		observer.organisationCalled(&result)
 	}
 	switch result.Call {
 	case "Submit":
@@ -344,6 +352,7 @@
 		slog.String("ConfigCall", string(call)),
 		slog.Duration("Age", before.Age),
 		slog.Duration("WatchAge", before.WatchAge))
+	observer.organisationsChanged(config)
 }
 
 // ConfigChecked counts a check of the configuration.
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -739,4 +739,18 @@
 		Text:    "step blamed for its failures",
 		Meaning: "Runs of the step `Task` of `Job` failed on several workers and none was done. Its failures count once on each worker. `Detail` says on how many it failed, and how many of these are given work again.",
 	},
+	{
+		Event:   EventOrganisationChanged,
+		Level:   slog.LevelInfo,
+		Name:    "OrganisationChanged",
+		Text:    "keys, cap or weight of an organisation changed",
+		Meaning: "The configuration `Version`, which has come into force on this instance, changes `Organisation`. `AddedKeys` and `RemovedKeys` are the first digits of the SHA-256 digests of keys, at most 20; the keys themselves are in the configuration only. `Detail` tells whether the organisation is new or gone or its cap has changed. Of a version that changes more than 100 organisations a last line tells how many were `LeftOut`.",
+	},
+	{
+		Event:   EventOrganisationCapped,
+		Level:   slog.LevelDebug,
+		Name:    "OrganisationCapped",
+		Text:    "cap keeps an organisation waiting",
+		Meaning: "The cap of `Organisation` leaves no room for `CappedTasks` of its `WaitingTasks`. It uses `CapShare` of its cap and `Share` of all workers. Logged by the leader each second.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -124,4 +124,6 @@
 	EventCallUnrouted          Event = 935
 	EventConnectionReplaced    Event = 936
 	EventCellStepBlamed        Event = 940
+	EventOrganisationChanged   Event = 941
+	EventOrganisationCapped    Event = 942
 )
--- a/internal/placement/accountant/accountant.go
+++ b/internal/placement/accountant/accountant.go
@@ -151,3 +151,14 @@
 	account.spent++
 	return true
 }
+
+// CapShare returns the largest share of its cap that the organisation uses of any resource that the cap limits.
+func (account *Account) CapShare() float64 {
+	share := 0.0
+	for _, resource := range account.resources(descriptor.Resources{}, account.used) {
+		if resource.limit > 0 {
+			share = max(share, float64(resource.used)/float64(resource.limit))
+		}
+	}
+	return share
+}
