--- a/integration/cell/soak_organisations_test.go
+++ b/integration/cell/soak_organisations_test.go
@@ -82,6 +82,13 @@
 	soak.cell.site.RunRecorder.SetOwner(strings.Split(job.path, "/")[2], organisationNames[index%len(organisationNames)])
 }
 
+// checkAdmitted checks that a key that stays is never refused, and that its job is never taken for another organisation's.
+func (soak *soak) checkAdmitted(job *soakJob, answer answer) {
+	if answer.status == http.StatusUnauthorized || answer.status == http.StatusConflict || answer.status == http.StatusGone {
+		soak.t.Errorf("%s: status %d (%s) for a key that stays", job.path, answer.status, answer.body)
+	}
+}
+
 // checkOrganisations checks, after all faults, that no place holds a key, and that no organisation sees a job of another.
 func (soak *soak) checkOrganisations() {
 	soak.cell.checkNoKeys()
--- a/integration/cell/soak_test.go
+++ b/integration/cell/soak_test.go
@@ -277,6 +277,7 @@
 func (soak *soak) submitJob(entry *soakJob, count int, work standin.Work, gang, cancel bool, first int) {
 	for attempt := range 4 {
 		answer := soak.cell.callWithKey(entry.key, http.MethodPost, (first+attempt)%len(soak.cell.instances), entry.path, job(count, work, gang))
+		soak.checkAdmitted(entry, answer)
 		soak.mutex.Lock()
 		switch answer.status {
 		case http.StatusOK:
@@ -294,11 +295,12 @@
 	if !cancel || !entry.accepted {
 		return
 	}
-	status := soak.cell.callWithKey(entry.key, http.MethodDelete, first, entry.path, nil).status
+	answer := soak.cell.callWithKey(entry.key, http.MethodDelete, first, entry.path, nil)
+	soak.checkAdmitted(entry, answer)
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
 	// A cancellation without a response may have taken effect.
-	entry.cancelled = status != http.StatusServiceUnavailable
+	entry.cancelled = answer.status != http.StatusServiceUnavailable
 }
 
 // injectFaults injects faults for soakDuration and waits until they are over.
