limiter: a budget of bytes and connections for the clients of a process

Change: internal/node/limiter. The memory of the settings grants a budget that headers over 4 KB, bodies over 16 KB and what they are decoded to draw on before they are read. Each port has a maximum of connections, under the sockets of the settings (limits.maxFds, new). A connection that is stalled gives way to one that needs room; what cannot be served gets 503 and Retry-After, or its connection is closed, and nothing of it has run. Receive buffers are small until a body is admitted. Headers are limited to 16 KB, a body to 13 s. The drainer keeps an earlier ConnState. The entry reads bodies with the same code; its buffer limit counts the bytes of a buffer in place of pieces of 16 KB. A body that is truncated or malformed gets 400 in place of 413. connector.Serve takes a listener; its test passes one in place of an address.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,6 +27,7 @@
 	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
 	"pomelomoor/internal/node/drainer"
+	"pomelomoor/internal/node/limiter"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/node/meter"
 	"pomelomoor/internal/node/supervisor"
@@ -46,6 +46,11 @@
 	defaultGrace = 6 * time.Second
 	// headerTimeout bounds the reading of a request header.
 	headerTimeout = 3 * time.Second
+	// bodyTimeout bounds the reading of a request body. A link of 10 Mbit/s carries the largest in 0.3 s; the rest is for
+	// losses and for callers that freeze for seconds.
+	bodyTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request header; net/http adds 4 KB for the request line.
+	maxHeaderBytes = 16 << 10
 	// idleTimeout is how long idle caller connections are kept open.
 	idleTimeout = 60 * time.Second
 	// memoryLimitShare is the Go memory limit as a fraction of the instance's memory. The rest is for
@@ -75,6 +80,7 @@
 	reload       <-chan os.Signal
 	log          *slog.Logger
 	meter        *meter.Meter
+	limits       limits
 	observer     *observer.Observer
 	store        *platform.Store
 	relayer      *relayer.Relayer
@@ -105,6 +111,7 @@
 		reload:       options.Reload,
 		log:          options.Log,
 		meter:        instanceMeter,
+		limits:       newLimits(options.Settings),
 		observer: &observer.Observer{
 			Log:   options.Log,
 			Scope: instanceMeter.Scope,
@@ -233,9 +240,14 @@
 	})
 	tree.Add("Config", instance.refresher.Run)
 	tree.Add("Peers", func(ctx context.Context) error {
-		return connector.Serve(ctx, instance.settings.Peer, instance, instance.advice, instance.relayer, instance.acknowledger())
+		listener, err := limiter.Listen(ctx, instance.settings.Peer.String())
+		if err != nil {
+			return errors.Wrap(err, "listen for calls of other instances")
+		}
+		return connector.Serve(ctx, instance.limits.peers.LimitListener(listener), instance, instance.advice, instance.relayer, instance.acknowledger())
 	})
 	tree.Add("Settings", instance.watchSettings)
+	tree.Add("Limits", instance.reportLimits)
 }
 
 // listen starts the HTTP servers for calls, readiness probes and metrics.
@@ -245,32 +257,39 @@
 	handlers := []struct {
 		address netip.AddrPort
 		handler http.Handler
+		port    *limiter.Port
 	}{
 		{
 			address: instance.settings.Front,
 			handler: platform.NewCallHandler(instance.admitter),
+			port:    instance.limits.front,
 		},
 		{
 			address: instance.settings.Ready,
 			handler: platform.NewReadyHandler(instance.admitter),
+			port:    instance.limits.ready,
 		},
 		{
 			address: instance.settings.Metrics,
 			handler: metrics,
+			port:    instance.limits.metrics,
 		},
 	}
-	var config net.ListenConfig
 	var servers []*drainer.Drainer
 	for _, entry := range handlers {
-		listener, err := config.Listen(ctx, "tcp", entry.address.String())
+		listener, err := limiter.Listen(ctx, entry.address.String())
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", entry.address)
 		}
-		server := drainer.New(&http.Server{
+		httpServer := &http.Server{
 			Handler:           entry.handler,
 			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       headerTimeout + bodyTimeout,
 			IdleTimeout:       idleTimeout,
-		}, listener)
+			MaxHeaderBytes:    maxHeaderBytes,
+		}
+		limited := entry.port.Limit(httpServer, listener)
+		server := drainer.New(httpServer, limited)
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/cell/connector/connector.go
+++ b/internal/cell/connector/connector.go
@@ -27,6 +27,12 @@
 	// activity and must be acknowledged within keepaliveTimeout.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = time.Second
+	// handshakeTimeout limits how long a connection may take until its first call can be made.
+	handshakeTimeout = 5 * time.Second
+	// maxConcurrentStreams limits the calls in progress on one connection; further ones wait at the caller.
+	maxConcurrentStreams = 1024
+	// maxHeaderBytes limits the header of a call between instances.
+	maxHeaderBytes = 16 << 10
 )
 
 // ErrNotLeader means that the instance is not the leader, or cannot answer as leader yet.
@@ -57,15 +63,13 @@
 	workers describer.Workers
 }
 
-// Serve serves the calls of other instances on address until ctx is done.
-func Serve(ctx context.Context, address netip.AddrPort, leader LeaderHandler, adviser describer.Adviser, store LocalStore, workers describer.Workers) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for calls of other instances")
-	}
+// Serve serves the calls of other instances that arrive on listener until ctx is done, and closes listener.
+func Serve(ctx context.Context, listener net.Listener, leader LeaderHandler, adviser describer.Adviser, store LocalStore, workers describer.Workers) error {
 	grpcServer := grpc.NewServer(
 		grpc.UnaryInterceptor(containPanic),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxConcurrentStreams(maxConcurrentStreams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime:             keepaliveTime / 2,
 			PermitWithoutStream: true,
--- a/internal/cell/connector/connector_test.go
+++ b/internal/cell/connector/connector_test.go
@@ -33,15 +33,12 @@
 		t.Fatal(err)
 	}
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		// The test ends it.
-		_ = Serve(ctx, address, faultyLeader{}, nil, nil, workers)
+		_ = Serve(ctx, listener, faultyLeader{}, nil, nil, workers)
 	}()
 	connector, closeConnector := New()
 	t.Cleanup(func() {
--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -20,6 +20,7 @@
 	"pomelomoor/internal/cell/leader"
 	"pomelomoor/internal/cell/refresher"
 	"pomelomoor/internal/cell/scheduler"
+	"pomelomoor/internal/node/limiter"
 	"pomelomoor/internal/node/logger"
 	"pomelomoor/internal/node/meter"
 )
@@ -35,6 +36,9 @@
 	// unreadable limits the lines about entries that cannot be read.
 	unreadable entryLimiter
 
+	// refused holds the last report of refused clients by port. Only ClientLimits uses it.
+	refused map[string]map[limiter.Reason]int64
+
 	// metrics holds the counters and histograms by name and tag values, since finding them in the scope costs more
 	// than recording a sample.
 	metrics sync.Map
@@ -77,10 +81,14 @@
 }
 
 func (observer *Observer) count(name string, tags ...string) {
+	observer.add(name, 1, tags...)
+}
+
+func (observer *Observer) add(name string, count int64, tags ...string) {
 	counter, _ := observer.metric(func(scope tally.Scope) any {
 		return scope.Counter(name)
 	}, name, tags).(tally.Counter)
-	counter.Inc(1)
+	counter.Inc(count)
 }
 
 func (observer *Observer) latency(name string, took time.Duration, tags ...string) {
--- a/internal/entry/handler/body.go
+++ b/internal/entry/handler/body.go
@@ -1,7 +1,6 @@
 package handler
 
 import (
-	"io"
 	"mime"
 	"net/http"
 	"os"
@@ -9,48 +8,41 @@
 
 	"github.com/go-faster/errors"
 
+	"pomelomoor/internal/node/limiter"
 	"pomelomoor/internal/work/descriptor"
 )
 
-// readChunkBytes is the amount of buffer space that is acquired from the limiter at a time while a body is read.
-const readChunkBytes = 16 << 10
-
 // errBodyTimeout is the error of a body that did not arrive within Timeouts.Body.
 var errBodyTimeout = descriptor.NewProblem(descriptor.CodeDeadline, 0, "the body was not received in time")
 
 // readBody returns the body of a call, at most limit bytes, and a function that releases its buffer space.
 // net/http removes the read deadline that checkHeader sets once the body has been read.
 func (server *server) readBody(
-	limiter limiter, request *http.Request, limit int,
+	bounds bounds, request *http.Request, limit int,
 ) (body []byte, release func(), err error) {
 	acquired := int64(0)
 	release = func() {
-		limiter.bytes.Release(acquired)
-	}
-	if request.ContentLength > int64(limit) {
-		return nil, release, bodyTooLarge(limit)
+		bounds.bytes.Release(acquired)
 	}
-	for {
-		if len(body) == cap(body) {
-			if !limiter.bytes.TryAcquire(readChunkBytes) {
-				return nil, release, descriptor.NewProblem(descriptor.CodeOverloaded, DefaultRetryAfter,
-					"the bodies of all calls in progress exceed the buffer limit")
-			}
-			acquired += readChunkBytes
-			body = append(make([]byte, 0, len(body)+readChunkBytes), body...)
-		}
-		count, err := request.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		switch {
-		case len(body) > limit:
-			return nil, release, bodyTooLarge(limit)
-		case errors.Is(err, io.EOF):
-			return body, release, nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, release, errBodyTimeout
-		case err != nil:
-			return nil, release, descriptor.NewProblem(descriptor.CodeInvalid, 0, "the body is truncated or malformed")
+	body, err = limiter.ReadReserved(request, int64(limit), func(bytes int64) error {
+		if !bounds.bytes.TryAcquire(bytes) {
+			return limiter.ErrNoRoom
 		}
+		acquired += bytes
+		return nil
+	})
+	switch {
+	case err == nil:
+		return body, release, nil
+	case errors.Is(err, limiter.ErrTooLarge):
+		return nil, release, bodyTooLarge(limit)
+	case errors.Is(err, limiter.ErrNoRoom):
+		return nil, release, descriptor.NewProblem(descriptor.CodeOverloaded, DefaultRetryAfter,
+			"the bodies of all calls in progress exceed the buffer limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, release, errBodyTimeout
+	default:
+		return nil, release, descriptor.NewProblem(descriptor.CodeInvalid, 0, "the body is truncated or malformed")
 	}
 }
 
@@ -72,13 +64,13 @@
 // readJSON returns the body of a call after it checks that its content type is JSON. On failure it writes the
 // error response and returns false.
 func (server *server) readJSON(
-	limiter limiter, writer http.ResponseWriter, request *http.Request, limit int,
+	bounds bounds, writer http.ResponseWriter, request *http.Request, limit int,
 ) (body []byte, release func(), ok bool) {
 	if err := checkContentType(request.Header); err != nil {
 		server.writeBodyError(writer, request, err)
 		return nil, func() {}, false
 	}
-	body, release, err := server.readBody(limiter, request, limit)
+	body, release, err := server.readBody(bounds, request, limit)
 	if err != nil {
 		release()
 		server.writeBodyError(writer, request, err)
--- a/internal/entry/handler/handler.go
+++ b/internal/entry/handler/handler.go
@@ -82,22 +82,22 @@
 	Timeouts loader.Timeouts
 }
 
-// limiter bounds the number of calls of one class that are in progress, and the total size of their bodies.
-type limiter struct {
+// bounds limit the number of calls of one class that are in progress, and the total size of their bodies.
+type bounds struct {
 	calls *semaphore.Weighted
 	bytes *semaphore.Weighted
 }
 
-// server is a Handler with defaults filled in and its limiters.
+// server is a Handler with defaults filled in and its bounds.
 type server struct {
 	Handler
 
 	// work limits submissions and requests, longPolls limits calls that wait for a job, and control limits all
 	// other calls. Control calls have a separate limiter so that operators can act during an overload, even
 	// while many callers wait for their jobs.
-	work      limiter
-	longPolls limiter
-	control   limiter
+	work      bounds
+	longPolls bounds
+	control   bounds
 }
 
 // controlDivisor divides the configured limits to get those of control calls and of long polls. They apply in
@@ -119,14 +119,14 @@
 		server.Scope = tally.NoopScope
 	}
 	calls, bytes := int64(server.Limits.Calls), int64(server.Limits.BufferBytes)
-	server.work = limiter{
+	server.work = bounds{
 		calls: semaphore.NewWeighted(calls),
 		bytes: semaphore.NewWeighted(bytes),
 	}
-	server.longPolls = limiter{
+	server.longPolls = bounds{
 		calls: semaphore.NewWeighted(max(calls/controlDivisor, 1)),
 	}
-	server.control = limiter{
+	server.control = bounds{
 		calls: semaphore.NewWeighted(max(calls/controlDivisor, 1)),
 		bytes: semaphore.NewWeighted(max(bytes/controlDivisor, 2*parser.MaxDocumentBytes)),
 	}
--- a/internal/entry/handler/handler_test.go
+++ b/internal/entry/handler/handler_test.go
@@ -16,6 +16,7 @@
 
 	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/entry/presenter"
+	"pomelomoor/internal/node/limiter"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/node/meter"
 	"pomelomoor/internal/node/tracer"
@@ -303,7 +304,7 @@
 		},
 	}, func(handler *Handler) {
 		handler.Limits.Calls = 2
-		handler.Limits.BufferBytes = readChunkBytes
+		handler.Limits.BufferBytes = limiter.FirstBufferBytes
 	})
 	results := make(chan int)
 	wait := formatCall("GET /v1/jobs/a-0.1?Wait=30s", "", "")
@@ -332,7 +333,7 @@
 			t.Errorf("admitted call got %d", status)
 		}
 	}
-	long := `{"Payload": "` + strings.Repeat("x", readChunkBytes) + `"}`
+	long := `{"Payload": "` + strings.Repeat("x", limiter.FirstBufferBytes) + `"}`
 	if _, document := roundTrip(t, address, formatCall("POST /v1/jobs", contentTypeJSON, long)); document["Code"] != "Overloaded" {
 		t.Errorf("body larger than the buffer limit: %v", document)
 	}
--- a/internal/entry/handler/middleware.go
+++ b/internal/entry/handler/middleware.go
@@ -169,16 +169,16 @@
 	})
 }
 
-// admit rejects calls while the limiter's maximum number of calls is in progress.
-func (server *server) admit(limiter limiter) func(next http.Handler) http.Handler {
+// admit rejects calls while the maximum number of calls is in progress.
+func (server *server) admit(bounds bounds) func(next http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-			if !limiter.calls.TryAcquire(1) {
+			if !bounds.calls.TryAcquire(1) {
 				server.writeError(writer, request,
 					descriptor.NewProblem(descriptor.CodeOverloaded, DefaultRetryAfter, "too many calls are in progress"))
 				return
 			}
-			defer limiter.calls.Release(1)
+			defer bounds.calls.Release(1)
 			next.ServeHTTP(writer, request)
 		})
 	}
--- a/internal/node/drainer/conn.go
+++ b/internal/node/drainer/conn.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// NetConn returns the underlying connection.
+func (conn *conn) NetConn() net.Conn {
+	return conn.Conn
+}
+
+// CloseWrite lets net/http end an answer without a reset that could overtake it.
+func (conn *conn) CloseWrite() error {
+	if closer, canClose := conn.Conn.(interface{ CloseWrite() error }); canClose {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
 func (conn *conn) isClosing() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
--- a/internal/node/drainer/drainer.go
+++ b/internal/node/drainer/drainer.go
@@ -29,7 +29,9 @@
 type Drainer struct {
 	server   *http.Server
 	listener *trackingListener
-	draining atomic.Bool
+	// nextConnState is the ConnState that the server had before; it may be nil.
+	nextConnState func(net.Conn, http.ConnState)
+	draining      atomic.Bool
 	// minIdle is the constant, or less in tests.
 	minIdle time.Duration
 
@@ -37,12 +39,14 @@
 	conns map[*conn]struct{}
 }
 
-// New returns a drainer that serves with server on listener. It replaces the server's Handler and ConnState.
+// New returns a drainer that serves with server on listener. It wraps the server's Handler and
+// ConnState.
 func New(server *http.Server, listener net.Listener) *Drainer {
 	drainer := &Drainer{
-		server:  server,
-		minIdle: minIdle,
-		conns:   make(map[*conn]struct{}),
+		server:        server,
+		nextConnState: server.ConnState,
+		minIdle:       minIdle,
+		conns:         make(map[*conn]struct{}),
 	}
 	drainer.listener = &trackingListener{
 		Listener:      listener,
@@ -116,6 +120,9 @@
 	if !tracked {
 		return
 	}
+	if drainer.nextConnState != nil {
+		drainer.nextConnState(netConn, state)
+	}
 	switch state {
 	case http.StateIdle:
 		conn.setIdle(time.Now().Add(drainer.minIdle))
--- /dev/null
+++ b/internal/node/limiter/conn.go
@@ -0,0 +1,247 @@
+package limiter
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// receiveBufferBytes is the receive buffer of a connection until its body is admitted, so that bytes which wait to be
+	// read stay bounded. The first flight of a TCP sender, 14 KB, fits in.
+	receiveBufferBytes = 16 << 10
+	// bodyBufferBytes is the receive buffer while a longer body is read. A link of 10 Mbit/s with a round trip of 50 ms
+	// needs as much.
+	bodyBufferBytes = 64 << 10
+	// writeTimeout limits how long a write may be blocked by a client that does not read.
+	writeTimeout = 10 * time.Second
+)
+
+// Listen listens on a TCP address with small receive buffers. Connections take the buffer size of their listener.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(descriptor uintptr) {
+				// Without a smaller buffer the listener works as well, with more memory of the kernel.
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+			})
+		},
+	}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// Limit makes a server and its listener subject to the limits of the port. It replaces the server's Handler, ConnContext
+// and ConnState, and returns the listener that the server has to use.
+func (port *Port) Limit(server *http.Server, netListener net.Listener) net.Listener {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		port.serve(next, writer, request)
+	})
+	server.ConnContext = func(ctx context.Context, netConn net.Conn) context.Context {
+		if conn := unwrap(netConn); conn != nil {
+			return context.WithValue(ctx, connKey{}, conn)
+		}
+		return ctx
+	}
+	server.ConnState = func(netConn net.Conn, state http.ConnState) {
+		if conn := unwrap(netConn); conn != nil && state == http.StateIdle {
+			port.limiter.idle(conn.account, time.Now())
+		}
+	}
+	return port.LimitListener(netListener)
+}
+
+// LimitListener returns a listener that bounds the connections of netListener.
+func (port *Port) LimitListener(netListener net.Listener) net.Listener {
+	return &listener{
+		Listener: netListener,
+		port:     port,
+	}
+}
+
+func (port *Port) serve(next http.Handler, writer http.ResponseWriter, request *http.Request) {
+	conn, limited := request.Context().Value(connKey{}).(*conn)
+	if !limited {
+		next.ServeHTTP(writer, request)
+		return
+	}
+	if port.limiter.begin(conn.account, request.ContentLength != 0) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() {
+		port.limiter.end(conn.account, time.Now())
+	}()
+	next.ServeHTTP(writer, request)
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// unwrap returns the connection of this package within netConn, or nil.
+func unwrap(netConn net.Conn) *conn {
+	for {
+		switch wrapped := netConn.(type) {
+		case *conn:
+			return wrapped
+		case interface{ NetConn() net.Conn }:
+			netConn = wrapped.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+type listener struct {
+	net.Listener
+
+	port *Port
+}
+
+// Accept implements net.Listener. It closes connections for which there is no room.
+func (listener *listener) Accept() (net.Conn, error) {
+	for {
+		netConn, err := listener.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		accepted := &conn{
+			Conn:    netConn,
+			limiter: listener.port.limiter,
+		}
+		admitted, victim := listener.port.admit(time.Now(), accepted.abort)
+		if victim != nil {
+			victim.close()
+		}
+		if admitted != nil {
+			accepted.account = admitted
+			return accepted, nil
+		}
+		// The client learns of the close, whether it fails here or not.
+		_ = netConn.Close()
+	}
+}
+
+// conn is a connection that counts towards the limits of its port.
+type conn struct {
+	net.Conn
+
+	limiter   *Limiter
+	account   *account
+	closeOnce sync.Once
+	closeErr  error
+}
+
+// Read implements net.Conn. It fails if there is no room for what it has read of a header.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count == 0 {
+		return count, err
+	}
+	reserve, receiveErr := conn.limiter.received(conn.account, int64(count), int64(bytes.Count(buffer[:count], []byte{'\n'})), time.Now)
+	if receiveErr == nil && reserve > 0 && !conn.reserve(reserve) {
+		conn.limiter.refuse(conn.account.port, ReasonHeader)
+		receiveErr = ErrNoRoom
+	}
+	if receiveErr != nil {
+		// net/http answers to other errors as if the client had made a mistake.
+		return 0, &net.OpError{
+			Op:  "read",
+			Err: receiveErr,
+		}
+	}
+	return count, err
+}
+
+// reserve takes bytes from the budget without waiting. Stalled connections are closed for it.
+func (conn *conn) reserve(bytes int64) bool {
+	granted, victims := conn.limiter.reserve(conn.account, bytes, time.Now())
+	for _, victim := range victims {
+		victim.close()
+	}
+	return granted
+}
+
+// await takes bytes from the budget and waits for them if there is hope.
+func (conn *conn) await(ctx context.Context, bytes int64) error {
+	if conn.reserve(bytes) {
+		return nil
+	}
+	if bytes <= conn.limiter.maxBytes && conn.limiter.startWaiting() {
+		defer conn.limiter.stopWaiting()
+		ctx, cancel := context.WithTimeout(ctx, maxWait)
+		defer cancel()
+		ticker := time.NewTicker(waitInterval)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-ticker.C:
+				if conn.reserve(bytes) {
+					return nil
+				}
+			}
+		}
+	}
+	conn.limiter.refuse(conn.account.port, ReasonBody)
+	return ErrNoRoom
+}
+
+// Write implements net.Conn.
+func (conn *conn) Write(buffer []byte) (int, error) {
+	now := time.Now()
+	conn.limiter.blocked(conn.account, now)
+	// A deadline that cannot be set means that the connection is closed, so that the write fails.
+	_ = conn.SetWriteDeadline(now.Add(writeTimeout))
+	count, err := conn.Conn.Write(buffer)
+	conn.limiter.blocked(conn.account, time.Time{})
+	return count, err
+}
+
+// Close implements net.Conn.
+func (conn *conn) Close() error {
+	conn.closeOnce.Do(func() {
+		conn.closeErr = conn.Conn.Close()
+		conn.limiter.leave(conn.account)
+	})
+	return conn.closeErr
+}
+
+// abort closes the connection for the sake of others.
+func (conn *conn) abort() {
+	// The connection is lost, whatever the error.
+	_ = conn.Close()
+}
+
+// growReceiveBuffer makes room for a body that is longer than the first receive buffer.
+func (conn *conn) growReceiveBuffer() {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	// A body that arrives through a small buffer is slower and complete all the same.
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bodyBufferBytes)
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_WINDOW_CLAMP, bodyBufferBytes)
+	})
+}
+
+// CloseWrite lets net/http end an answer without a reset that could overtake it.
+func (conn *conn) CloseWrite() error {
+	if closer, canClose := conn.Conn.(interface{ CloseWrite() error }); canClose {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (conn *conn) SyscallConn() (syscall.RawConn, error) {
+	source, isSyscallConn := conn.Conn.(syscall.Conn)
+	if !isSyscallConn {
+		return nil, syscall.ENOTSUP
+	}
+	return source.SyscallConn()
+}
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -711,6 +711,13 @@
 		Text:    "silent connection replaced",
 		Meaning: "The connection to the instance at `Address` did not answer although a new one did. Calls that waited on it have failed; further ones use the new one.",
 	},
+	{
+		Event:   EventClientsRefused,
+		Level:   slog.LevelWarn,
+		Name:    "ClientsRefused",
+		Text:    "clients refused by limits",
+		Meaning: "In the last second the limits of `Port` refused clients: `Connections` and `Bytes` are in use, and each further attribute names a reason with its count as in the metric `Limits.Refused`. Nothing of their calls has run.",
+	},
 	{
 		Event:   EventCellStepBlamed,
 		Level:   slog.LevelInfo,
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -120,5 +120,6 @@
 	EventCellConfigConfirmed   Event = 934
 	EventCallUnrouted          Event = 935
 	EventConnectionReplaced    Event = 936
+	EventClientsRefused        Event = 937
 	EventCellStepBlamed        Event = 940
 )
