--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -33,6 +33,7 @@
 	"pomelomoor/internal/member/peerpb"
 	"pomelomoor/internal/member/tracker"
 	"pomelomoor/internal/node/drainer"
+	"pomelomoor/internal/node/limiter"
 	"pomelomoor/internal/node/loader"
 	"pomelomoor/internal/node/meter"
 	"pomelomoor/internal/node/supervisor"
@@ -415,11 +416,14 @@
 		Limits:    entry.settings.Limits,
 		Timeouts:  entry.settings.Timeouts,
 	}
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", entry.settings.HTTP.String())
+	listener, err := limiter.Listen(context.Background(), entry.settings.HTTP.String())
 	if err != nil {
 		return err
 	}
-	entry.server = drainer.New(api.Server(), listener)
+	server := api.Server()
+	port := limiter.New(int64(entry.settings.Limits.BufferBytes)).NewPort("HTTP", entry.settings.Limits.Connections)
+	limited := port.Limit(server, listener)
+	entry.server = drainer.New(server, limited)
 	entry.onClose(func() {
 		_ = entry.server.Close()
 	})
--- a/internal/node/limiter/body.go
+++ b/internal/node/limiter/body.go
@@ -11,10 +11,10 @@
 const (
 	// FirstBufferBytes is the first buffer for a body. ConnectionBytes covers it.
 	FirstBufferBytes = 16 << 10
-	// decodedObjectBytes, decodedElementBytes and decodedCopies are the memory of a decoded JSON document for each object
-	// and each element in it, and how often its text is copied until the call has ended.
-	decodedObjectBytes  = 512
-	decodedElementBytes = 16
+	// decodedObjectBytes, decodedElementBytes and decodedCopies are the memory that decoding a JSON document takes for each
+	// object and each other element in it, and how often its text is copied until the call has ended.
+	decodedObjectBytes  = 1024
+	decodedElementBytes = 40
 	decodedCopies       = 2
 	// maxDecodedShare is the part of the budget that one document can take, so that each can be served in calm.
 	maxDecodedShare = 2
@@ -52,22 +52,31 @@
 	if err != nil {
 		return nil, err
 	}
-	if decoded := decodedBytes(body); decoded > ConnectionBytes {
+	if decoded := DecodedBytes(body); decoded > ConnectionBytes {
 		if err := conn.await(request.Context(), min(decoded, conn.limiter.maxBytes/maxDecodedShare)); err != nil {
 			return nil, err
 		}
 	}
-	return body, conn.limiter.complete(conn.account)
+	return body, nil
 }
 
-// decodedBytes returns a bound on the memory of a decoded JSON document.
-func decodedBytes(document []byte) int64 {
+// complete notes that a request is complete, so that its connection does not give way any more.
+func complete(request *http.Request) error {
+	conn, limited := request.Context().Value(connKey{}).(*conn)
+	if !limited {
+		return nil
+	}
+	return conn.limiter.complete(conn.account)
+}
+
+// DecodedBytes returns a bound on the memory of a decoded JSON document.
+func DecodedBytes(document []byte) int64 {
 	return int64(decodedCopies*len(document) +
 		decodedObjectBytes*bytes.Count(document, []byte{'{'}) +
-		decodedElementBytes*bytes.Count(document, []byte{','}))
+		decodedElementBytes*(bytes.Count(document, []byte{','})+bytes.Count(document, []byte{'['})))
 }
 
-// ReadReserved returns the body of a request, at most maxBytes. It calls reserve with the number of bytes by which its
+// ReadReserved returns the body of a request, at most maxBytes, without a reservation in a port. It calls reserve with the number of bytes by which its
 // buffer grows, before it does.
 func ReadReserved(request *http.Request, maxBytes int64, reserve func(bytes int64) error) ([]byte, error) {
 	length := request.ContentLength
@@ -100,7 +109,7 @@
 		case int64(len(body)) > maxBytes:
 			return nil, ErrTooLarge
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return body, complete(request)
 		case err != nil:
 			return nil, errors.Wrap(err, "read body")
 		}
--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -69,7 +69,7 @@
 		next.ServeHTTP(writer, request)
 		return
 	}
-	if port.limiter.begin(conn.account, request.ContentLength != 0) != nil {
+	if port.limiter.begin(conn.account, awaitsBody(request)) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() {
@@ -78,6 +78,11 @@
 	next.ServeHTTP(writer, request)
 }
 
+// awaitsBody reports whether a request is carried out only once its body has been read.
+func awaitsBody(request *http.Request) bool {
+	return request.ContentLength != 0 && (request.Method == http.MethodPost || request.Method == http.MethodPut)
+}
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -59,6 +59,8 @@
 	Headers int
 	// Calls bounds the number of submissions and requests in progress.
 	Calls int
+	// Connections bounds the number of callers' connections.
+	Connections int
 	// BufferBytes bounds the total size of the bodies of all HTTP requests in progress.
 	BufferBytes int
 	// QueuedRequests bounds the number of interactive requests that wait.
@@ -127,6 +129,7 @@
 			HeaderBytes: 16 << 10,
 			Headers:     64,
 			Calls:       4096,
+			Connections: 4096,
 			// A quarter of the memory that a node may use.
 			BufferBytes:    32 << 20,
 			QueuedRequests: 4096,
