limiter: connections between instances hold nothing of the budget

Cause: a connection between instances was taken for one with a header without an end, so that its bytes drew on the budget for good and the oldest one gave way first; found on reading. Its receive buffer was small too, which would slow batches of orders. A call that had been read together with the one before counted as idle.

Change: such connections count as idle since their last bytes and keep the kernel's receive buffers. A call that begins on an idle connection counts as received since then.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -240,7 +241,8 @@
 	})
 	tree.Add("Config", instance.refresher.Run)
 	tree.Add("Peers", func(ctx context.Context) error {
-		listener, err := limiter.Listen(ctx, instance.settings.Peer.String())
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp", instance.settings.Peer.String())
 		if err != nil {
 			return errors.Wrap(err, "listen for calls of other instances")
 		}
--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -52,10 +52,15 @@
 			port.limiter.idle(conn.account, time.Now())
 		}
 	}
-	return port.LimitListener(netListener)
+	return &listener{
+		Listener: netListener,
+		port:     port,
+		isHTTP:   true,
+	}
 }
 
-// LimitListener returns a listener that bounds the connections of netListener.
+// LimitListener returns a listener that bounds the connections of netListener, whatever protocol they carry. A connection
+// counts as idle since its last bytes arrived.
 func (port *Port) LimitListener(netListener net.Listener) net.Listener {
 	return &listener{
 		Listener: netListener,
@@ -69,7 +74,7 @@
 		next.ServeHTTP(writer, request)
 		return
 	}
-	if port.limiter.begin(conn.account, awaitsBody(request)) != nil {
+	if port.limiter.begin(conn.account, awaitsBody(request), time.Now) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() {
@@ -104,6 +109,8 @@
 	net.Listener
 
 	port *Port
+	// isHTTP means that the server tells the limiter of the calls on its connections.
+	isHTTP bool
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
@@ -116,6 +123,7 @@
 		accepted := &conn{
 			Conn:    netConn,
 			limiter: listener.port.limiter,
+			isHTTP:  listener.isHTTP,
 		}
 		admitted, victim := listener.port.admit(time.Now(), accepted.abort)
 		if victim != nil {
@@ -136,6 +144,7 @@
 
 	limiter   *Limiter
 	account   *account
+	isHTTP    bool
 	closeOnce sync.Once
 	closeErr  error
 }
@@ -146,12 +155,7 @@
 	if count == 0 {
 		return count, err
 	}
-	reserve, receiveErr := conn.limiter.received(conn.account, int64(count), int64(bytes.Count(buffer[:count], []byte{'\n'})), time.Now)
-	if receiveErr == nil && reserve > 0 && !conn.reserve(reserve) {
-		conn.limiter.refuse(conn.account.port, ReasonHeader)
-		receiveErr = ErrNoRoom
-	}
-	if receiveErr != nil {
+	if receiveErr := conn.received(buffer[:count]); receiveErr != nil {
 		// net/http answers to other errors as if the client had made a mistake.
 		return 0, &net.OpError{
 			Op:  "read",
@@ -161,6 +165,21 @@
 	return count, err
 }
 
+// received notes bytes that have arrived. It returns an error if the connection gave way, or if there is no room for what
+// they are decoded to.
+func (conn *conn) received(arrived []byte) error {
+	if !conn.isHTTP {
+		return conn.limiter.active(conn.account, time.Now())
+	}
+	lines := bytes.Count(arrived, []byte{'\n'})
+	reserve, err := conn.limiter.received(conn.account, int64(len(arrived)), int64(lines), time.Now)
+	if err == nil && reserve > 0 && !conn.reserve(reserve) {
+		conn.limiter.refuse(conn.account.port, ReasonHeader)
+		return ErrNoRoom
+	}
+	return err
+}
+
 // reserve takes bytes from the budget without waiting. Stalled connections are closed for it.
 func (conn *conn) reserve(bytes int64) bool {
 	granted, victims := conn.limiter.reserve(conn.account, bytes, time.Now())
--- a/internal/node/limiter/conn_test.go
+++ b/internal/node/limiter/conn_test.go
@@ -134,6 +134,66 @@
 	}
 }
 
+// TestOtherProtocol guards against a connection between instances that is closed since it carries more than the budget, or
+// since it has been open for longer than others.
+func TestOtherProtocol(t *testing.T) {
+	const (
+		maxConnections = 3
+		budgetBytes    = 1 << 10
+	)
+	limiter := New(budgetBytes)
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := limiter.NewPort("Peers", maxConnections).LimitListener(plain)
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	defer func() {
+		_ = listener.Close()
+	}()
+	serving.Go(func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() {
+				// The echo ends with the connection.
+				_, _ = io.Copy(accepted, accepted)
+				_ = accepted.Close()
+			})
+		}
+	})
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", plain.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	peer := dial()
+	defer func() {
+		_ = peer.Close()
+	}()
+	message, echo := bytes.Repeat([]byte("message\n"), budgetBytes), make([]byte, 8*budgetBytes)
+	for range 4 * maxConnections {
+		silent := dial()
+		defer func() {
+			_ = silent.Close()
+		}()
+		if _, err := peer.Write(message); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(peer, echo); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if usage := limiter.Usage(); usage.Bytes != 0 || usage.Ports[0].Connections > maxConnections {
+		t.Errorf("%d bytes and %d connections", usage.Bytes, usage.Ports[0].Connections)
+	}
+}
+
 // BenchmarkCall compares calls on a connection with and without limits.
 func BenchmarkCall(b *testing.B) {
 	for _, bodyBytes := range []int{0, 300, 9600} {
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -292,12 +292,30 @@
 	return max(2*account.headerBytes+headerLineBytes*account.headerLines-account.heldBytes, 0), nil
 }
 
+// active notes that bytes have arrived on a connection whose calls the limiter does not know.
+func (limiter *Limiter) active(account *account, now time.Time) error {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if account.evicted {
+		return errEvicted
+	}
+	account.phase = phaseIdle
+	account.since = now
+	return nil
+}
+
 // begin notes that the header of a call is complete. Without a body, so is the call.
-func (limiter *Limiter) begin(account *account, hasBody bool) error {
+func (limiter *Limiter) begin(account *account, hasBody bool, now func() time.Time) error {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	account.inBody = true
 	account.inHandler = true
+	if account.phase == phaseIdle {
+		// The call had been read together with the one before.
+		account.phase = phaseReceiving
+		account.since = now()
+		account.receivedBytes = 0
+	}
 	if hasBody {
 		return nil
 	}
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -55,7 +55,7 @@
 				if _, err := limiter.received(account, 100, 3, clock.read); err != nil {
 					t.Error(err)
 				}
-				if err := limiter.begin(account, true); err != nil {
+				if err := limiter.begin(account, true, clock.read); err != nil {
 					t.Error(err)
 				}
 			},
@@ -70,7 +70,7 @@
 		{
 			name: "answer not read",
 			enter: func(limiter *Limiter, account *account, clock *testClock) {
-				if err := limiter.begin(account, false); err != nil {
+				if err := limiter.begin(account, false, clock.read); err != nil {
 					t.Error(err)
 				}
 				limiter.blocked(account, clock.now)
@@ -78,8 +78,8 @@
 		},
 		{
 			name: "in progress",
-			enter: func(limiter *Limiter, account *account, _ *testClock) {
-				if err := limiter.begin(account, false); err != nil {
+			enter: func(limiter *Limiter, account *account, clock *testClock) {
+				if err := limiter.begin(account, false, clock.read); err != nil {
 					t.Error(err)
 				}
 			},
@@ -87,8 +87,8 @@
 		},
 		{
 			name: "in progress after a body",
-			enter: func(limiter *Limiter, account *account, _ *testClock) {
-				if err := limiter.begin(account, true); err != nil {
+			enter: func(limiter *Limiter, account *account, clock *testClock) {
+				if err := limiter.begin(account, true, clock.read); err != nil {
 					t.Error(err)
 				}
 				if err := limiter.complete(account); err != nil {
@@ -104,7 +104,7 @@
 			limiter := New(1 << 20)
 			port := limiter.NewPort("Front", 2)
 			holder, busy := open(t, port, clock), open(t, port, clock)
-			if err := limiter.begin(busy, false); err != nil {
+			if err := limiter.begin(busy, false, clock.read); err != nil {
 				t.Fatal(err)
 			}
 			state.enter(limiter, holder, clock)
@@ -191,7 +191,7 @@
 	clock := newTestClock()
 	limiter := New(1000)
 	account := open(t, limiter.NewPort("Front", 10), clock)
-	if err := limiter.begin(account, true); err != nil {
+	if err := limiter.begin(account, true, clock.read); err != nil {
 		t.Fatal(err)
 	}
 	limiter.reserve(account, 600, clock.now)
@@ -226,7 +226,7 @@
 			clock := newTestClock()
 			limiter := New(1 << 20)
 			account := open(t, limiter.NewPort("Front", 1), clock)
-			if err := limiter.begin(account, true); err != nil {
+			if err := limiter.begin(account, true, clock.read); err != nil {
 				t.Fatal(err)
 			}
 			for range 5 {
