limiter: new connections wait for a place

Change: a connection keeps its place for 0.1 s in any case. A new one without a place waits for 1 s, and those after it in the kernel's queue.

Conclusion: callers are served in turn beside clients that connect again at once.

--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -113,7 +113,8 @@
 	isHTTP bool
 }
 
-// Accept implements net.Listener. It closes connections for which there is no room.
+// Accept implements net.Listener. While there is no place for a connection, further ones wait in the queue of the kernel,
+// so that those who are being served come to an end in turn. It closes a connection that has waited for too long.
 func (listener *listener) Accept() (net.Conn, error) {
 	for {
 		netConn, err := listener.Listener.Accept()
@@ -125,19 +126,29 @@
 			limiter: listener.port.limiter,
 			isHTTP:  listener.isHTTP,
 		}
-		admitted, victim := listener.port.admit(time.Now(), accepted.abort)
-		if victim != nil {
-			victim.close()
-		}
-		if admitted != nil {
-			accepted.account = admitted
+		if accepted.account = listener.awaitPlace(accepted.abort); accepted.account != nil {
 			return accepted, nil
 		}
+		listener.port.limiter.refuse(listener.port, ReasonConnections)
 		// The client learns of the close, whether it fails here or not.
 		_ = netConn.Close()
 	}
 }
 
+// awaitPlace returns the account of a new connection, or nil if there was no place for it in time.
+func (listener *listener) awaitPlace(closeConn func()) *account {
+	for start := time.Now(); ; time.Sleep(admissionInterval) {
+		now := time.Now()
+		admitted, victim := listener.port.admit(now, closeConn)
+		if victim != nil {
+			victim.close()
+		}
+		if admitted != nil || now.Sub(start) > maxAdmission {
+			return admitted
+		}
+	}
+}
+
 // conn is a connection that counts towards the limits of its port.
 type conn struct {
 	net.Conn
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -21,8 +21,12 @@
 	minStall = time.Second
 	// minBytesPerSecond extends minStall for what has arrived. A link of 10 Mbit/s carries twenty times as much.
 	minBytesPerSecond = 64 << 10
-	// maxFlush is how long the sending of an answer takes that no write is blocked by.
-	maxFlush = 100 * time.Millisecond
+	// minKept is how long a connection keeps its place in any case: an ordinary call arrives in less time, and an answer that
+	// is not blocked is sent.
+	minKept = 100 * time.Millisecond
+	// maxAdmission is how long a new connection waits for a place, and admissionInterval the time between its attempts.
+	maxAdmission      = time.Second
+	admissionInterval = time.Millisecond
 	// minIdle is how long a connection has to be idle before it gives way ahead of fresh ones. A caller that has used it
 	// later is likely to use it again just then.
 	minIdle = time.Second
@@ -161,15 +165,17 @@
 
 // rank returns how readily the connection is closed for a new one; 0 means never.
 func (account *account) rank(now time.Time) int {
+	age := now.Sub(account.since)
 	switch {
 	case account.evicted:
 		return 0
 	case account.isStalled(now):
 		return 4
-	case account.phase == phaseIdle && now.Sub(account.since) > minIdle:
+	case age <= minKept:
+		return 0
+	case account.phase == phaseIdle && age > minIdle:
 		return 3
-	case account.phase == phaseReceiving,
-		account.phase == phaseAnswering && account.blockedSince.IsZero() && now.Sub(account.since) > maxFlush:
+	case account.phase == phaseReceiving, account.phase == phaseAnswering && account.blockedSince.IsZero():
 		return 2
 	case account.phase == phaseIdle:
 		return 1
@@ -177,14 +183,13 @@
 	return 0
 }
 
-// admit returns the account of a new connection and the one that has to be closed for it. The account is nil if the
-// connection is refused.
+// admit returns the account of a new connection and the one that has to be closed for it. The account is nil while there
+// is no place.
 func (port *Port) admit(now time.Time, closeConn func()) (admitted, victim *account) {
 	port.limiter.mutex.Lock()
 	defer port.limiter.mutex.Unlock()
 	if len(port.accounts) >= port.maxConnections {
 		if victim = port.victim(now); victim == nil {
-			port.refused[ReasonConnections]++
 			return nil, nil
 		}
 		port.evict(victim)
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -142,6 +142,10 @@
 	clock.advance(2 * minStall)
 	limiter.idle(used, clock.now)
 	fresh := open(t, port, clock)
+	if fresh.rank(clock.now) != 0 || used.rank(clock.now) != 0 {
+		t.Error("a connection that was used just now may be closed")
+	}
+	clock.advance(2 * minKept)
 	for index, want := range []*account{stalled, idle, fresh, used} {
 		if victim := port.victim(clock.now); victim != want {
 			t.Fatalf("victim %d is not the expected one", index)
