--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -123,6 +123,7 @@
 	EventCellConfigConfirmed   Event = 934
 	EventCallUnrouted          Event = 935
 	EventConnectionReplaced    Event = 936
+	EventClientsRefused        Event = 937
 	EventCellStepBlamed        Event = 940
 	EventOrganisationChanged   Event = 941
 	EventOrganisationCapped    Event = 942
