advisor: requests with slack leave the near instances free

Change: a request may be delayed by a twentieth of its slack, and takes the instance with the most overhead that delays it by no more. The first sample of an instance's overhead counts in full, since a far instance looked near until several requests had taken the long way.

At the crest the far instances do not suffice, and a fifth of the slot-checks' requests still goes through other regions.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -30,6 +30,9 @@
 	// maxFailureBackoff. One failure may only mean that a connection was lost, and all connections may be lost at once.
 	minFailureBackoff = 100 * time.Millisecond
 	maxFailureBackoff = time.Second
+	// maxDelayShare is the share of its slack by which a request may be delayed so that an instance with less overhead
+	// stays free for requests that have none. What follows the answer needs the rest.
+	maxDelayShare = 0.05
 )
 
 // SendFunc sends a request through an instance and delivers the answer.
@@ -57,8 +60,9 @@
 	openTime     time.Duration
 	longRequests int
 	// overhead is a moving average of the time that a request takes in addition to the expected service time.
-	overhead     time.Duration
-	backoffUntil time.Time
+	overhead      time.Duration
+	overheadKnown bool
+	backoffUntil  time.Time
 	// failures counts the failures in a row. Those of requests that were open together count once.
 	failures int
 }
@@ -198,7 +202,7 @@
 			return
 		}
 		long := queue == &advisor.long
-		chosen := advisor.chooseInstance(now, long)
+		chosen := advisor.chooseInstance(now, long, maxDelay(now, queue.First()))
 		switch {
 		case chosen == nil && long:
 			longBlocked = true
@@ -267,25 +271,65 @@
 	return instance.openTime + instance.overhead
 }
 
-// chooseInstance returns the free instance with the lowest expected delay, or nil.
-func (advisor *Advisor) chooseInstance(now time.Time, long bool) *instance {
+// maxDelay returns by how much a request of the given rank may be delayed for the sake of more urgent ones.
+func maxDelay(now time.Time, rank prioritizer.Rank) time.Duration {
+	return time.Duration(maxDelayShare * float64(max(rank.UrgentFrom.Sub(now), 0)))
+}
+
+// chooseInstance returns the free instance with the lowest expected delay, or nil. If the request may be delayed, it
+// returns the one with the most overhead that delays it by no more than that.
+func (advisor *Advisor) chooseInstance(now time.Time, long bool, maxDelay time.Duration) *instance {
 	if long && !advisor.longAllowed() {
 		return nil
 	}
 	var best *instance
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if instance.openRequests >= maxOpenRequests || now.Before(instance.backoffUntil) || long && instance.openRequests > 0 ||
-			!long && instance == advisor.keptFor {
+		if !advisor.free(now, instance, long) {
 			continue
 		}
 		if best == nil || instance.expectedDelay() < best.expectedDelay() || instance.expectedDelay() == best.expectedDelay() && instance.name < best.name {
 			best = instance
 		}
 	}
+	if best == nil || maxDelay <= 0 {
+		return best
+	}
+	latest := best.expectedDelay() + maxDelay
+	advisor.examined += int64(len(advisor.instances))
+	for _, instance := range advisor.instances {
+		if !advisor.free(now, instance, long) || instance.expectedDelay() > latest {
+			continue
+		}
+		if spared := instance.overhead - instance.openTime; spared > best.overhead-best.openTime {
+			best = instance
+		}
+	}
 	return best
 }
 
+// noteOverhead adds a sample to the moving average. The first one counts in full: an instance that it shows to be far would
+// otherwise look near until more requests have taken the long way.
+func (instance *instance) noteOverhead(sample time.Duration) {
+	if !instance.overheadKnown {
+		instance.overhead, instance.overheadKnown = sample, true
+		return
+	}
+	instance.overhead += (sample - instance.overhead) / overheadWeightDivisor
+}
+
+// free reports whether a request may be sent through the instance now.
+func (advisor *Advisor) free(now time.Time, instance *instance, long bool) bool {
+	switch {
+	case instance.openRequests >= maxOpenRequests || now.Before(instance.backoffUntil):
+		return false
+	case long:
+		return instance.openRequests == 0
+	default:
+		return instance != advisor.keptFor
+	}
+}
+
 // send sends one request and then dispatches further ones. The time expected covers all open requests of the
 // instance, including this one.
 func (advisor *Advisor) send(ctx context.Context, instance *instance, request scheduler.AdviceRequest, expected time.Duration, long bool) {
@@ -298,7 +342,7 @@
 	defer advisor.mutex.Unlock()
 	instance.openRequests--
 	instance.openTime -= request.ExpectedDuration
-	instance.overhead += (overhead - instance.overhead) / overheadWeightDivisor
+	instance.noteOverhead(overhead)
 	if long {
 		instance.longRequests--
 		advisor.longRequests--
--- /dev/null
+++ b/internal/cell/advisor/slack_test.go
@@ -0,0 +1,89 @@
+package advisor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/cell/scheduler"
+)
+
+// TestRequestsWithSlack brings long requests with slack beside short urgent ones, in a cell with two near instances and two
+// whose answers take 150 ms longer. It guards against long requests that occupy the near instances, so that the short
+// ones, whose objective the longer way uses up, are sent through the others.
+func TestRequestsWithSlack(t *testing.T) {
+	const far = 150 * time.Millisecond
+	tests := []struct {
+		name  string
+		slack time.Duration
+		// wantNear is whether the long requests go through near instances.
+		wantNear bool
+	}{
+		{
+			name:  "slack",
+			slack: 10 * time.Second,
+		},
+		{
+			name:     "little slack",
+			slack:    time.Second,
+			wantNear: true,
+		},
+		{
+			name:     "late",
+			slack:    -time.Second,
+			wantNear: true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var mutex sync.Mutex
+				sent := map[describer.JobID]string{}
+				advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) error {
+					mutex.Lock()
+					sent[request.Step.Job] = instance
+					mutex.Unlock()
+					if instance >= "far" && instance < "near" {
+						time.Sleep(far)
+					}
+					time.Sleep(request.ExpectedDuration)
+					return nil
+				})
+				advisor.SetInstances(ctx, []string{"far-1", "far-2", "near-1", "near-2"})
+				for round := range 20 {
+					for index := range 4 {
+						advisor.Add(ctx, []scheduler.AdviceRequest{testRequest(fmt.Sprintf("learn-%d-%d", round, index), 0)})
+					}
+					time.Sleep(time.Second)
+				}
+				for index := range 2 {
+					request := testRequest(fmt.Sprintf("long-%d", index), test.slack)
+					request.ExpectedDuration = time.Second
+					advisor.Add(ctx, []scheduler.AdviceRequest{request})
+				}
+				synctest.Wait()
+				for index := range 2 {
+					advisor.Add(ctx, []scheduler.AdviceRequest{testRequest(fmt.Sprintf("short-%d", index), 100*time.Millisecond)})
+				}
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				for index := range 2 {
+					long := sent[describer.JobID(fmt.Sprintf("long-%d", index))]
+					short := sent[describer.JobID(fmt.Sprintf("short-%d", index))]
+					if near := long >= "near"; near != test.wantNear {
+						t.Errorf("long request %d was sent through %s", index, long)
+					}
+					if !test.wantNear && short < "near" {
+						t.Errorf("short request %d was sent through %s", index, short)
+					}
+				}
+			})
+		})
+	}
+}
