admitter: retry delay from the length of the outage

Cause: a caller that is rejected while the store is silent was told to come back after 2 s, however long the silence had lasted, and all were told the same.

Change: package postponer. The delay is the length of the silence, from 1 s to 10 s, plus up to half of it at random, and not longer than the job's objective and the caller's deadline allow.

Holding submissions, and telling ends before they are durable, were weighed and not built.

--- a/internal/cell/admitter/admitter.go
+++ b/internal/cell/admitter/admitter.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/persister"
+	"pomelomoor/internal/cell/postponer"
 	"pomelomoor/internal/cell/refresher"
 	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
@@ -31,8 +33,8 @@
 	maxRetryTime = 900 * time.Millisecond
 	// responseMargin is the part of a caller's deadline reserved for the response.
 	responseMargin = 100 * time.Millisecond
-	// retryAfter is the retry delay that a rejected caller is given. Store outages last seconds, and other
-	// instances may still reach the store.
+	// retryAfter is the retry delay of a caller that is rejected because the leader cannot be reached, and the longest one
+	// of a caller that asks for a state or cancels while the store does not answer.
 	retryAfter = 2 * time.Second
 	// configRetryAfter is the retry delay of a caller that is rejected because the configuration is not known. It is the
 	// shortest that HTTP can tell.
@@ -60,6 +62,8 @@
 	ConfigExpectation func() describer.Expectation
 	// Reachable reports whether the store responds to this instance directly.
 	Reachable func() bool
+	// Silence, if set, returns for how long the store has not answered this instance; 0 while it does.
+	Silence func() time.Duration
 	// Leader returns the address of the leader, or an invalid address if there is no leader.
 	Leader func() netip.AddrPort
 	// FailClosed returns whether calls with a key are rejected while the configuration is not confirmed, so that a key that
@@ -256,7 +260,7 @@
 	if route.Condition != nil {
 		change.Expect = append(change.Expect, *route.Condition)
 	}
-	err = admitter.commit(ctx, change)
+	err = admitter.commit(ctx, change, postponer.Objective(job, job.Policy))
 	var conflict *describer.ConflictError
 	if errors.As(err, &conflict) {
 		if route.Condition != nil && conflict.Revision(key) == 0 && conflict.Revision(recordKey) == 0 {
@@ -337,8 +341,9 @@
 }
 
 // commit commits a change and retries until it succeeds or meets a conflict, or the time for retries is
-// over. The change must be one that cannot take effect twice. After a RejectedError it never takes effect.
-func (admitter *Admitter) commit(ctx context.Context, change describer.Change) error {
+// over. The change must be one that cannot take effect twice. After a RejectedError it never takes effect. Its caller is
+// told to try again within objective.
+func (admitter *Admitter) commit(ctx context.Context, change describer.Change, objective time.Duration) error {
 	start := time.Now()
 	uncertain := false
 	for {
@@ -351,21 +356,31 @@
 		deadline, bounded := ctx.Deadline()
 		switch {
 		case ctx.Err() != nil || bounded && time.Until(deadline) < responseMargin+retryDelay:
-			return admitter.storeError(uncertain, err)
+			return admitter.storeError(ctx, uncertain, err, objective)
 		case !admitter.options.Reachable() || time.Since(start) > maxRetryTime:
-			return admitter.storeError(uncertain, err)
+			return admitter.storeError(ctx, uncertain, err, objective)
 		}
 		watcher.Sleep(ctx, retryDelay)
 	}
 }
 
-func (admitter *Admitter) storeError(uncertain bool, err error) error {
+// storeError returns the error of a call that the store did not answer. Its caller is told to try again within objective
+// and its own deadline.
+func (admitter *Admitter) storeError(ctx context.Context, uncertain bool, err error, objective time.Duration) error {
 	if uncertain {
 		return errors.Wrap(describer.ErrUncertain, err.Error())
 	}
+	limit := objective
+	if deadline, bounded := ctx.Deadline(); bounded {
+		limit = min(limit, time.Until(deadline))
+	}
+	var silence time.Duration
+	if admitter.options.Silence != nil {
+		silence = admitter.options.Silence()
+	}
 	return &describer.RejectedError{
 		Reason:     "store is unavailable: " + err.Error(),
-		RetryAfter: retryAfter,
+		RetryAfter: postponer.RetryAfter(silence, limit, rand.Float64()),
 	}
 }
 
@@ -442,7 +457,7 @@
 		}
 		deadline, bounded := ctx.Deadline()
 		if ctx.Err() != nil || !admitter.options.Reachable() || bounded && time.Until(deadline) < responseMargin+retryDelay {
-			return item, admitter.storeError(false, err)
+			return item, admitter.storeError(ctx, false, err, retryAfter)
 		}
 		watcher.Sleep(ctx, retryDelay)
 	}
@@ -484,7 +499,7 @@
 			// The key may have been removed.
 			change.Expect = append(change.Expect, *route.Condition)
 		}
-		err = admitter.commit(ctx, change)
+		err = admitter.commit(ctx, change, retryAfter)
 		var conflict *describer.ConflictError
 		if err == nil {
 			admitter.announce(nil, id)
--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -144,6 +144,7 @@
 		ConfigConfirmed:   instance.refresher.Confirmed,
 		ConfigExpectation: instance.refresher.Expectation,
 		Reachable:         instance.relayer.Reachable,
+		Silence:           instance.relayer.Silence,
 		Leader:            instance.leaderAddress,
 		State:             instance.queryState,
 		Pending:           instance.queryPending,
--- a/internal/cell/relayer/relayer.go
+++ b/internal/cell/relayer/relayer.go
@@ -98,6 +98,16 @@
 	return !relayer.lastAnswer.IsZero() && !relayer.unreachable
 }
 
+// Silence returns for how long the store has not answered this instance; 0 while it is reachable.
+func (relayer *Relayer) Silence() time.Duration {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	if relayer.lastAnswer.IsZero() || !relayer.unreachable {
+		return 0
+	}
+	return time.Since(relayer.lastAnswer)
+}
+
 // LocalRead reads a key directly from the store. It serves other instances and never relays.
 func (relayer *Relayer) LocalRead(ctx context.Context, key string) (describer.Item, error) {
 	if !relayer.Reachable() {
