advisor: near instances take no long requests that have slack

The far instances had short requests open then, so that long ones, which need an idle instance, took the near ones for up to a second.

Change: as many instances as may have no long request, a fifth, are those with the least overhead. Long requests that are late may take them as before. The test fails on the code before.

TestFailures fails about once in 150 runs under -race, with this change (8 or 12 of 1,500) and on (12 or 8 of 1,500, beside each other): its second request may be added before the first one's failure is noted. Not mended here.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -3,7 +3,10 @@
 package advisor
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +36,8 @@
 	// maxDelayShare is the share of its slack by which a request may be delayed so that an instance with less overhead
 	// stays free for requests that have none. What follows the answer needs the rest.
 	maxDelayShare = 0.05
+	// nearInterval is how often the instances are ranked by overhead.
+	nearInterval = time.Second
 )
 
 // SendFunc sends a request through an instance and delivers the answer.
@@ -49,6 +54,8 @@
 	longRequests int
 	// keptFor is the instance that takes no short request, so that it can take a long one; nil if none is kept.
 	keptFor *instance
+	// nearAt is when the instances were last ranked by overhead.
+	nearAt time.Time
 	// examined counts the instances that were looked at to send a request.
 	examined int64
 }
@@ -62,7 +69,9 @@
 	// overhead is a moving average of the time that a request takes in addition to the expected service time.
 	overhead      time.Duration
 	overheadKnown bool
-	backoffUntil  time.Time
+	// near means that the instance is among those with the least overhead. They take no long requests that have slack.
+	near         bool
+	backoffUntil time.Time
 	// failures counts the failures in a row. Those of requests that were open together count once.
 	failures int
 }
@@ -196,6 +205,7 @@
 	now := time.Now()
 	longBlocked := false
 	advisor.keptFor = nil
+	advisor.rankByOverhead(now)
 	for {
 		queue := advisor.nextQueue(now, longBlocked)
 		if queue == nil {
@@ -206,7 +216,7 @@
 		switch {
 		case chosen == nil && long:
 			longBlocked = true
-			advisor.keptFor = advisor.soonestIdle(now)
+			advisor.keptFor = advisor.soonestIdle(now, maxDelay(now, queue.First()) > 0)
 			continue
 		case chosen == nil:
 			return
@@ -224,14 +234,14 @@
 
 // soonestIdle returns the instance that is to become idle for a long request that is the most urgent, or nil if no long
 // request may be sent. Without it short requests that keep coming would never leave an instance idle.
-func (advisor *Advisor) soonestIdle(now time.Time) *instance {
+func (advisor *Advisor) soonestIdle(now time.Time, slack bool) *instance {
 	if !advisor.longAllowed() {
 		return nil
 	}
 	var best *instance
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if instance.longRequests > 0 || now.Before(instance.backoffUntil) {
+		if instance.longRequests > 0 || now.Before(instance.backoffUntil) || slack && instance.near {
 			continue
 		}
 		if best == nil || instance.openRequests < best.openRequests || instance.openRequests == best.openRequests && instance.name < best.name {
@@ -285,7 +295,7 @@
 	var best *instance
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if !advisor.free(now, instance, long) {
+		if !advisor.free(now, instance, long, maxDelay > 0) {
 			continue
 		}
 		if best == nil || instance.expectedDelay() < best.expectedDelay() || instance.expectedDelay() == best.expectedDelay() && instance.name < best.name {
@@ -298,7 +308,7 @@
 	latest := best.expectedDelay() + maxDelay
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if !advisor.free(now, instance, long) || instance.expectedDelay() > latest {
+		if !advisor.free(now, instance, long, maxDelay > 0) || instance.expectedDelay() > latest {
 			continue
 		}
 		if spared := instance.overhead - instance.openTime; spared > best.overhead-best.openTime {
@@ -318,13 +328,29 @@
 	instance.overhead += (sample - instance.overhead) / overheadWeightDivisor
 }
 
-// free reports whether a request may be sent through the instance now.
-func (advisor *Advisor) free(now time.Time, instance *instance, long bool) bool {
+// rankByOverhead finds the near instances: as many as may have no long request.
+func (advisor *Advisor) rankByOverhead(now time.Time) {
+	if now.Sub(advisor.nearAt) < nearInterval {
+		return
+	}
+	advisor.nearAt = now
+	advisor.examined += int64(len(advisor.instances))
+	instances := slices.SortedFunc(maps.Values(advisor.instances), func(left, right *instance) int {
+		return cmp.Or(cmp.Compare(left.overhead, right.overhead), cmp.Compare(left.name, right.name))
+	})
+	count := len(instances) - int(math.Ceil(maxLongShare*float64(len(instances))))
+	for rank, instance := range instances {
+		instance.near = rank < count
+	}
+}
+
+// free reports whether a request, which may have slack, may be sent through the instance now.
+func (advisor *Advisor) free(now time.Time, instance *instance, long, slack bool) bool {
 	switch {
 	case instance.openRequests >= maxOpenRequests || now.Before(instance.backoffUntil):
 		return false
 	case long:
-		return instance.openRequests == 0
+		return instance.openRequests == 0 && (!slack || !instance.near)
 	default:
 		return instance != advisor.keptFor
 	}
--- a/internal/cell/advisor/slack_test.go
+++ b/internal/cell/advisor/slack_test.go
@@ -87,3 +87,59 @@
 		})
 	}
 }
+
+// TestNearInstancesKept has long requests with slack while each of the far instances has a request that ends soon. It guards
+// against long requests that take the near instances when no other is idle, as at a crest, while short ones keep coming.
+func TestNearInstancesKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var mutex sync.Mutex
+		sent := map[describer.JobID]string{}
+		advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) error {
+			mutex.Lock()
+			sent[request.Step.Job] = instance
+			mutex.Unlock()
+			if instance < "near" {
+				time.Sleep(150 * time.Millisecond)
+			}
+			time.Sleep(request.ExpectedDuration)
+			return nil
+		})
+		names := []string{"near-1", "near-2"}
+		for index := range 8 {
+			names = append(names, fmt.Sprint("far-", index))
+		}
+		advisor.SetInstances(ctx, names)
+		for index := range 20 {
+			advisor.Add(ctx, []scheduler.AdviceRequest{testRequest(fmt.Sprint("learn-", index), 0)})
+		}
+		time.Sleep(2 * time.Second)
+		for index := range 8 {
+			request := testRequest(fmt.Sprint("medium-", index), 10*time.Second)
+			request.ExpectedDuration = 140 * time.Millisecond
+			advisor.Add(ctx, []scheduler.AdviceRequest{request})
+		}
+		for index := range 20 {
+			request := testRequest(fmt.Sprint("long-", index), 10*time.Second)
+			request.ExpectedDuration = time.Second
+			advisor.Add(ctx, []scheduler.AdviceRequest{request})
+		}
+		for index := range 10 {
+			name := fmt.Sprint("short-", index)
+			advisor.Add(ctx, []scheduler.AdviceRequest{testRequest(name, 100*time.Millisecond)})
+			time.Sleep(50 * time.Millisecond)
+			mutex.Lock()
+			instance := sent[describer.JobID(name)]
+			mutex.Unlock()
+			if instance < "near" {
+				t.Errorf("short request %d was sent through %q", index, instance)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		if waiting := advisor.Waiting(); waiting > 0 {
+			t.Errorf("%d requests were never sent", waiting)
+		}
+	})
+}
