scheduler: a worker that failed comes back by a trial

Cause: after a quarantine for failures a worker got as many tasks as it had room for, gangs among them, and failed them all if it was no better.

Change: it gets one task at a time, no gang, and tasks that have no time for a second run only if no other worker will do, until a run is done or goes on for longer than those that failed. Event 950 tells that it is given ordinary work again. The property of candidates covers workers on trial.

--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -121,6 +121,8 @@
 		return logger.EventEndIgnored
 	case scheduler.EventStepBlamed:
 		return logger.EventCellStepBlamed
+	case scheduler.EventWorkerReinstated:
+		return logger.EventCellWorkerReinstated
 	case scheduler.EventStepSetAside:
 		return logger.EventPanicContained
 	default:
--- a/internal/cell/scheduler/candidates_test.go
+++ b/internal/cell/scheduler/candidates_test.go
@@ -55,6 +55,7 @@
 			})
 			worker := scheduler.workers[id]
 			worker.answered = true
+			worker.health.trial = rapid.Bool().Draw(t, "Trial")
 			for range rapid.IntRange(0, 1).Draw(t, "Slow") * 100 {
 				worker.health.speed.ObserveSole(1.3)
 			}
--- a/internal/cell/scheduler/effects.go
+++ b/internal/cell/scheduler/effects.go
@@ -165,4 +165,6 @@
 	EventEndIgnored
 	// EventStepBlamed means that a step fails by its own fault, so that its failures hardly count against workers.
 	EventStepBlamed
+	// EventWorkerReinstated means that a worker that was quarantined for failures has passed its trial.
+	EventWorkerReinstated
 )
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -26,6 +26,9 @@
 	// ownFaultWorkers is the number of workers on which the runs of a step have to fail before the step is to blame. Two may
 	// be among the workers that fail all they start.
 	ownFaultWorkers = 3
+	// trialPenalty is added to the expected time of a task on a worker on trial, by the usual one, if the task's objective
+	// leaves no time for a second run.
+	trialPenalty = 1
 	// stallTimeout is the minimum time without progress after which a run is stopped while its worker answers.
 	stallTimeout = 2500 * time.Millisecond
 	// smoothingFactor is the weight of a new sample in the exponential moving averages.
@@ -40,6 +43,10 @@
 	// of failures.
 	quarantinedUntil time.Time
 	failedUntil      time.Time
+	// trial means that the worker was quarantined for failures and has not shown since that it does not fail. failedAfter is
+	// the longest time that a failed run took since the last one that was done.
+	trial       bool
+	failedAfter time.Duration
 	// speed is that of the worker, as learnt from its runs.
 	speed estimator.Speed
 }
@@ -91,6 +98,8 @@
 	switch outcome {
 	case describer.OutcomeDone:
 		clear(health.failures)
+		scheduler.reinstate(now, run.worker)
+		health.failedAfter = 0
 		run.task.step.failing.succeeded = true
 		scheduler.recordRunTime(now, run)
 	case describer.OutcomeFailed:
@@ -98,6 +107,9 @@
 			health.failures = map[*step]int{}
 		}
 		health.failures[run.task.step]++
+		if !run.confirmedAt.IsZero() {
+			health.failedAfter = max(health.failedAfter, now.Sub(run.confirmedAt))
+		}
 		scheduler.noteFailing(now, run)
 		counted := health.countedFailures()
 		if counted < quarantineThreshold || scheduler.mostQuarantined(now, run.worker) {
@@ -106,6 +118,7 @@
 		shift := min(counted-quarantineThreshold, 8)
 		scheduler.quarantine(now, run.worker, min(initialQuarantinePeriod<<shift, maxQuarantinePeriod), "consecutive runs failed")
 		health.failedUntil = health.quarantinedUntil
+		health.trial = true
 	}
 }
 
@@ -166,6 +179,7 @@
 		health := &worker.health
 		if now.Before(health.failedUntil) && health.quarantinedUntil.Equal(health.failedUntil) && health.countedFailures() < quarantineThreshold {
 			health.quarantinedUntil = now
+			health.trial = false
 			scheduler.changed = true
 			opened++
 		}
@@ -179,6 +193,48 @@
 	failing.workers, failing.tasks = nil, nil
 }
 
+// trialSlots returns how many of the given slots of a worker may be used for a step. After a quarantine for failures the
+// worker is tried with one task at a time, and with no gang, which would be lost as a whole.
+func (worker *worker) trialSlots(step *step, slots int) int {
+	health := &worker.health
+	if !health.trial {
+		return slots
+	}
+	if step.Gang {
+		return 0
+	}
+	for _, run := range worker.runs {
+		if !run.firstPlaced.Before(health.failedUntil) {
+			return 0
+		}
+	}
+	return min(slots, 1)
+}
+
+// endTrial ends the trial of the run's worker if the run has gone on for longer than those that failed.
+func (scheduler *Scheduler) endTrial(now time.Time, run *run) {
+	health := &run.worker.health
+	if health.trial && run.phase == phaseRunning && !run.firstPlaced.Before(health.failedUntil) &&
+		now.Sub(run.confirmedAt) > health.failedAfter {
+		scheduler.reinstate(now, run.worker)
+	}
+}
+
+// reinstate ends the trial of a worker, if it is on trial.
+func (scheduler *Scheduler) reinstate(now time.Time, worker *worker) {
+	health := &worker.health
+	if !health.trial {
+		return
+	}
+	health.trial = false
+	scheduler.changed = true
+	scheduler.emit(Event{
+		Kind:   EventWorkerReinstated,
+		Worker: worker.id,
+		Age:    max(now.Sub(health.failedUntil), 0),
+	})
+}
+
 // mostQuarantined reports whether more than half of the other usable workers of the worker's service are quarantined. What
 // fails on so many is seldom their fault, and the last ones must not be closed as well. A single worker may be.
 func (scheduler *Scheduler) mostQuarantined(now time.Time, worker *worker) bool {
@@ -254,8 +310,10 @@
 	})
 }
 
-// checkStall stops a run that makes no progress although its worker answers.
+// checkStall stops a run that makes no progress although its worker answers, and ends the trial of a worker whose run makes
+// progress.
 func (scheduler *Scheduler) checkStall(now time.Time, run *run) {
+	scheduler.endTrial(now, run)
 	step := run.task.step
 	if run.phase != phaseRunning || step.Perpetual || step.Gang || run.percent >= 100 {
 		return
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -442,6 +442,9 @@
 		if step.MaxPerWorker > 0 && worker.runCount(step)+alreadyAssigned >= step.MaxPerWorker {
 			return
 		}
+		if worker.trialSlots(step, 1) == 0 || worker.health.trial && alreadyAssigned > 0 {
+			return
+		}
 		score := scheduler.score(worker, task, estimated, free)
 		if step.Perpetual {
 			score += rackWeight * scheduler.rackShare(step, worker, assigned)
@@ -471,6 +474,9 @@
 	if step.NearRack != "" && step.NearRack != worker.description.Rack {
 		factor *= scheduler.options.RemoteFactor
 	}
+	if worker.health.trial && estimated.Tight {
+		factor += trialPenalty
+	}
 	freeShare := float64(free.MilliCPU) / float64(max(worker.description.Capacity.MilliCPU, 1))
 	if task.history.Suspect() {
 		// What runs beside a suspect may be lost with it.
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -718,4 +718,11 @@
 		Text:    "step blamed for its failures",
 		Meaning: "Runs of the step `Task` of `Job` failed on several workers and none was done. Its failures count once on each worker. `Detail` says on how many it failed, and how many of these are given work again.",
 	},
+	{
+		Event:   EventCellWorkerReinstated,
+		Level:   slog.LevelInfo,
+		Name:    "CellWorkerReinstated",
+		Text:    "worker given ordinary work again",
+		Meaning: "The worker had been avoided because its runs failed, and was then tried with one task at a time. A run was done, or went on for longer than those that had failed.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -121,4 +121,5 @@
 	EventCallUnrouted          Event = 935
 	EventConnectionReplaced    Event = 936
 	EventCellStepBlamed        Event = 940
+	EventCellWorkerReinstated  Event = 950
 )
