--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -3,7 +3,10 @@
 package advisor
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +33,11 @@
 	// maxFailureBackoff. One failure may only mean that a connection was lost, and all connections may be lost at once.
 	minFailureBackoff = 100 * time.Millisecond
 	maxFailureBackoff = time.Second
+	// maxDelayShare is the share of its slack by which a request may be delayed so that an instance with less overhead
+	// stays free for requests that have none. What follows the answer needs the rest.
+	maxDelayShare = 0.05
+	// nearInterval is how often the instances are ranked by overhead.
+	nearInterval = time.Second
 )
 
 // SendFunc sends a request through an instance and delivers the answer.
@@ -46,6 +54,8 @@
 	longRequests int
 	// keptFor is the instance that takes no short request, so that it can take a long one; nil if none is kept.
 	keptFor *instance
+	// nearAt is when the instances were last ranked by overhead.
+	nearAt time.Time
 	// examined counts the instances that were looked at to send a request.
 	examined int64
 }
@@ -57,7 +67,10 @@
 	openTime     time.Duration
 	longRequests int
 	// overhead is a moving average of the time that a request takes in addition to the expected service time.
-	overhead     time.Duration
+	overhead      time.Duration
+	overheadKnown bool
+	// near means that the instance is among those with the least overhead. They take no long requests that have slack.
+	near         bool
 	backoffUntil time.Time
 	// failures counts the failures in a row. Those of requests that were open together count once.
 	failures int
@@ -194,17 +207,18 @@
 	now := time.Now()
 	longBlocked := false
 	advisor.keptFor = nil
+	advisor.rankByOverhead(now)
 	for {
 		queue := advisor.nextQueue(now, longBlocked)
 		if queue == nil {
 			return
 		}
 		long := queue == &advisor.long
-		chosen := advisor.chooseInstance(now, long)
+		chosen := advisor.chooseInstance(now, long, maxDelay(now, queue.First()))
 		switch {
 		case chosen == nil && long:
 			longBlocked = true
-			advisor.keptFor = advisor.soonestIdle(now)
+			advisor.keptFor = advisor.soonestIdle(now, maxDelay(now, queue.First()) > 0)
 			continue
 		case chosen == nil:
 			return
@@ -222,14 +236,14 @@
 
 // soonestIdle returns the instance that is to become idle for a long request that is the most urgent, or nil if no long
 // request may be sent. Without it short requests that keep coming would never leave an instance idle.
-func (advisor *Advisor) soonestIdle(now time.Time) *instance {
+func (advisor *Advisor) soonestIdle(now time.Time, slack bool) *instance {
 	if !advisor.longAllowed() {
 		return nil
 	}
 	var best *instance
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if instance.longRequests > 0 || now.Before(instance.backoffUntil) {
+		if instance.longRequests > 0 || now.Before(instance.backoffUntil) || slack && instance.near {
 			continue
 		}
 		if best == nil || instance.openRequests < best.openRequests || instance.openRequests == best.openRequests && instance.name < best.name {
@@ -269,25 +283,81 @@
 	return instance.openTime + instance.overhead
 }
 
-// chooseInstance returns the free instance with the lowest expected delay, or nil.
-func (advisor *Advisor) chooseInstance(now time.Time, long bool) *instance {
+// maxDelay returns by how much a request of the given rank may be delayed for the sake of more urgent ones.
+func maxDelay(now time.Time, rank prioritizer.Rank) time.Duration {
+	return time.Duration(maxDelayShare * float64(max(rank.UrgentFrom.Sub(now), 0)))
+}
+
+// chooseInstance returns the free instance with the lowest expected delay, or nil. If the request may be delayed, it
+// returns the one with the most overhead that delays it by no more than that.
+func (advisor *Advisor) chooseInstance(now time.Time, long bool, maxDelay time.Duration) *instance {
 	if long && !advisor.longAllowed() {
 		return nil
 	}
 	var best *instance
 	advisor.examined += int64(len(advisor.instances))
 	for _, instance := range advisor.instances {
-		if instance.openRequests >= maxOpenRequests || now.Before(instance.backoffUntil) || long && instance.openRequests > 0 ||
-			!long && instance == advisor.keptFor {
+		if !advisor.free(now, instance, long, maxDelay > 0) {
 			continue
 		}
 		if best == nil || instance.expectedDelay() < best.expectedDelay() || instance.expectedDelay() == best.expectedDelay() && instance.name < best.name {
 			best = instance
 		}
 	}
+	if best == nil || maxDelay <= 0 {
+		return best
+	}
+	latest := best.expectedDelay() + maxDelay
+	advisor.examined += int64(len(advisor.instances))
+	for _, instance := range advisor.instances {
+		if !advisor.free(now, instance, long, maxDelay > 0) || instance.expectedDelay() > latest {
+			continue
+		}
+		if spared := instance.overhead - instance.openTime; spared > best.overhead-best.openTime {
+			best = instance
+		}
+	}
 	return best
 }
 
+// noteOverhead adds a sample to the moving average. The first one counts in full: an instance that it shows to be far would
+// otherwise look near until more requests have taken the long way.
+func (instance *instance) noteOverhead(sample time.Duration) {
+	if !instance.overheadKnown {
+		instance.overhead, instance.overheadKnown = sample, true
+		return
+	}
+	instance.overhead += (sample - instance.overhead) / overheadWeightDivisor
+}
+
+// rankByOverhead finds the near instances: as many as may have no long request.
+func (advisor *Advisor) rankByOverhead(now time.Time) {
+	if now.Sub(advisor.nearAt) < nearInterval {
+		return
+	}
+	advisor.nearAt = now
+	advisor.examined += int64(len(advisor.instances))
+	instances := slices.SortedFunc(maps.Values(advisor.instances), func(left, right *instance) int {
+		return cmp.Or(cmp.Compare(left.overhead, right.overhead), cmp.Compare(left.name, right.name))
+	})
+	count := len(instances) - int(math.Ceil(maxLongShare*float64(len(instances))))
+	for rank, instance := range instances {
+		instance.near = rank < count
+	}
+}
+
+// free reports whether a request, which may have slack, may be sent through the instance now.
+func (advisor *Advisor) free(now time.Time, instance *instance, long, slack bool) bool {
+	switch {
+	case instance.openRequests >= maxOpenRequests || now.Before(instance.backoffUntil):
+		return false
+	case long:
+		return instance.openRequests == 0 && (!slack || !instance.near)
+	default:
+		return instance != advisor.keptFor
+	}
+}
+
 // send sends one request and then dispatches further ones. The time expected covers all open requests of the
 // instance, including this one.
 func (advisor *Advisor) send(ctx context.Context, instance *instance, request scheduler.AdviceRequest, expected time.Duration, long bool) {
@@ -300,7 +370,7 @@
 	defer advisor.mutex.Unlock()
 	instance.openRequests--
 	instance.openTime -= request.ExpectedDuration
-	instance.overhead += (overhead - instance.overhead) / overheadWeightDivisor
+	instance.noteOverhead(overhead)
 	if long {
 		instance.longRequests--
 		advisor.longRequests--
--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -42,6 +42,7 @@
 // candidates returns the workers with room for tasks of step on rack, or on any rack if it is empty.
 func (scheduler *Scheduler) candidates(now time.Time, step *step, rack string) *candidates {
 	found := &candidates{}
+	task := scheduler.estimatorTask(now, step)
 	consider := func(worker *worker, ticket ticket) {
 		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack ||
 			worker.probation != nil || worker.heldForOther(now, step) {
@@ -52,6 +53,7 @@
 		if slots > 0 && step.MaxPerWorker > 0 {
 			slots = min(slots, step.MaxPerWorker-worker.runCount(step))
 		}
+		slots = worker.trialSlots(step, slots)
 		if slots <= 0 {
 			return
 		}
@@ -62,7 +64,7 @@
 				ticket: ticket,
 			},
 			slots: slots,
-			score: scheduler.score(worker, step.tasks[0], free),
+			score: scheduler.score(worker, step.tasks[0], task, free),
 		})
 	}
 	scheduler.eachAllowed(now, step, consider)
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelomoor/internal/cell/describer"
+	"pomelomoor/internal/cell/estimator"
 )
 
 const (
@@ -25,12 +26,13 @@
 	// ownFaultWorkers is the number of workers on which the runs of a step have to fail before the step is to blame. Two may
 	// be among the workers that fail all they start.
 	ownFaultWorkers = 3
+	// trialPenalty is added to the expected time of a task on a worker on trial, by the usual one, if the task's objective
+	// leaves no time for a second run.
+	trialPenalty = 1
 	// stallTimeout is the minimum time without progress after which a run is stopped while its worker answers.
 	stallTimeout = 2500 * time.Millisecond
 	// smoothingFactor is the weight of a new sample in the exponential moving averages.
 	smoothingFactor = 0.2
-	// slowThreshold is the slowdown above which a worker counts as slow. Samples are limited to twice that.
-	slowThreshold = 2.5
 )
 
 // health is the state of a worker as inferred from its runs.
@@ -41,8 +43,12 @@
 	// of failures.
 	quarantinedUntil time.Time
 	failedUntil      time.Time
-	// slowdown is the average ratio of run times on the worker to the queue's usual ones; 0 means unknown.
-	slowdown float64
+	// trial means that the worker was quarantined for failures and has not shown since that it does not fail. failedAfter is
+	// the longest time that a failed run took since the last one that was done.
+	trial       bool
+	failedAfter time.Duration
+	// speed is that of the worker, as learnt from its runs.
+	speed estimator.Speed
 }
 
 func (health *health) suspect(now time.Time) {
@@ -51,14 +57,6 @@
 	}
 }
 
-// slowdownFactor returns the slowdown, or 1 if it is unknown.
-func (health *health) slowdownFactor() float64 {
-	if health.slowdown == 0 {
-		return 1
-	}
-	return health.slowdown
-}
-
 // queueStats holds moving averages over the jobs of a queue.
 type queueStats struct {
 	// runTimeRatio is the ratio of run times to their estimates; 0 means unknown.
@@ -100,6 +98,8 @@
 	switch outcome {
 	case describer.OutcomeDone:
 		clear(health.failures)
+		scheduler.reinstate(now, run.worker)
+		health.failedAfter = 0
 		run.task.step.failing.succeeded = true
 		scheduler.recordRunTime(now, run)
 	case describer.OutcomeFailed:
@@ -107,6 +107,9 @@
 			health.failures = map[*step]int{}
 		}
 		health.failures[run.task.step]++
+		if !run.confirmedAt.IsZero() {
+			health.failedAfter = max(health.failedAfter, now.Sub(run.confirmedAt))
+		}
 		scheduler.noteFailing(now, run)
 		counted := health.countedFailures()
 		if counted < quarantineThreshold || scheduler.mostQuarantined(now, run.worker) {
@@ -115,6 +118,7 @@
 		shift := min(counted-quarantineThreshold, 8)
 		scheduler.quarantine(now, run.worker, min(initialQuarantinePeriod<<shift, maxQuarantinePeriod), "consecutive runs failed")
 		health.failedUntil = health.quarantinedUntil
+		health.trial = true
 	}
 }
 
@@ -175,6 +179,7 @@
 		health := &worker.health
 		if now.Before(health.failedUntil) && health.quarantinedUntil.Equal(health.failedUntil) && health.countedFailures() < quarantineThreshold {
 			health.quarantinedUntil = now
+			health.trial = false
 			scheduler.changed = true
 			opened++
 		}
@@ -188,6 +193,48 @@
 	failing.workers, failing.tasks = nil, nil
 }
 
+// trialSlots returns how many of the given slots of a worker may be used for a step. After a quarantine for failures the
+// worker is tried with one task at a time, and with no gang, which would be lost as a whole.
+func (worker *worker) trialSlots(step *step, slots int) int {
+	health := &worker.health
+	if !health.trial {
+		return slots
+	}
+	if step.Gang {
+		return 0
+	}
+	for _, run := range worker.runs {
+		if !run.firstPlaced.Before(health.failedUntil) {
+			return 0
+		}
+	}
+	return min(slots, 1)
+}
+
+// endTrial ends the trial of the run's worker if the run has gone on for longer than those that failed.
+func (scheduler *Scheduler) endTrial(now time.Time, run *run) {
+	health := &run.worker.health
+	if health.trial && run.phase == phaseRunning && !run.firstPlaced.Before(health.failedUntil) &&
+		now.Sub(run.confirmedAt) > health.failedAfter {
+		scheduler.reinstate(now, run.worker)
+	}
+}
+
+// reinstate ends the trial of a worker, if it is on trial.
+func (scheduler *Scheduler) reinstate(now time.Time, worker *worker) {
+	health := &worker.health
+	if !health.trial {
+		return
+	}
+	health.trial = false
+	scheduler.changed = true
+	scheduler.emit(Event{
+		Kind:   EventWorkerReinstated,
+		Worker: worker.id,
+		Age:    max(now.Sub(health.failedUntil), 0),
+	})
+}
+
 // mostQuarantined reports whether more than half of the other usable workers of the worker's service are quarantined. What
 // fails on so many is seldom their fault, and the last ones must not be closed as well. A single worker may be.
 func (scheduler *Scheduler) mostQuarantined(now time.Time, worker *worker) bool {
@@ -209,14 +256,46 @@
 func (scheduler *Scheduler) recordRunTime(now time.Time, run *run) {
 	step := run.task.step
 	// The end of an unlisted run became known late.
-	if step.Estimate <= 0 || run.phase == phaseUnlisted || run.confirmedAt.IsZero() || run.number > 1 || step.Perpetual {
+	if run.phase == phaseUnlisted || run.confirmedAt.IsZero() || run.number > 1 || step.Perpetual {
+		return
+	}
+	// The answer to the order and the report of the end take the way back alike.
+	step.runTimes.Add(&run.worker.health.speed, now.Sub(run.confirmedAt))
+	if step.Estimate <= 0 {
 		return
 	}
 	ratio := float64(now.Sub(run.placedAt)) / float64(step.Estimate)
 	usualRatio := step.job.queue.runTimeRatio
 	step.job.queue.runTimeRatio = min(max(smooth(usualRatio, ratio), 0.3), 4)
-	if usualRatio > 0 {
-		run.worker.health.slowdown = smooth(run.worker.health.slowdownFactor(), min(ratio/usualRatio, 2*slowThreshold))
+	if usualRatio > 0 && step.Count == 1 {
+		run.worker.health.speed.ObserveSole(ratio / usualRatio)
+	}
+}
+
+// estimatorTask returns what the choice of a worker for the tasks of step depends on.
+func (scheduler *Scheduler) estimatorTask(now time.Time, step *step) estimator.Task {
+	return estimator.NewTask(scheduler.runTime(step), scheduler.latestStart(step).Sub(now)-reportDelay, scheduler.longestWay)
+}
+
+// wayTo returns the way to the workers of a data centre.
+func (scheduler *Scheduler) wayTo(dataCentre string) *estimator.Way {
+	way := scheduler.ways[dataCentre]
+	if way == nil {
+		way = &estimator.Way{}
+		scheduler.ways[dataCentre] = way
+	}
+	return way
+}
+
+// noteWay notes how long an order took from its placement to its answer.
+func (scheduler *Scheduler) noteWay(now time.Time, run *run) {
+	if run.worker.way == nil || run.phase != phaseStarting {
+		return
+	}
+	run.worker.way.Note(now.Sub(run.placedAt))
+	scheduler.longestWay = 0
+	for _, way := range scheduler.ways {
+		scheduler.longestWay = max(scheduler.longestWay, way.Time())
 	}
 }
 
@@ -231,8 +310,10 @@
 	})
 }
 
-// checkStall stops a run that makes no progress although its worker answers.
+// checkStall stops a run that makes no progress although its worker answers, and ends the trial of a worker whose run makes
+// progress.
 func (scheduler *Scheduler) checkStall(now time.Time, run *run) {
+	scheduler.endTrial(now, run)
 	step := run.task.step
 	if run.phase != phaseRunning || step.Perpetual || step.Gang || run.percent >= 100 {
 		return
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -760,4 +760,11 @@
 		Text:    "cap keeps an organisation waiting",
 		Meaning: "The cap of `Organisation` leaves no room for `CappedTasks` of its `WaitingTasks`. It uses `CapShare` of its cap and `Share` of all workers. Logged by the leader each second.",
 	},
+	{
+		Event:   EventCellWorkerReinstated,
+		Level:   slog.LevelInfo,
+		Name:    "CellWorkerReinstated",
+		Text:    "worker given ordinary work again",
+		Meaning: "The worker had been avoided because its runs failed, and was then tried with one task at a time. A run was done, or went on for longer than those that had failed.",
+	},
 }
--- a/internal/node/logger/events.go
+++ b/internal/node/logger/events.go
@@ -127,4 +127,5 @@
 	EventCellStepBlamed        Event = 940
 	EventOrganisationChanged   Event = 941
 	EventOrganisationCapped    Event = 942
+	EventCellWorkerReinstated  Event = 950
 )
