--- a/internal/cell/scheduler/yielding.go
+++ b/internal/cell/scheduler/yielding.go
@@ -106,7 +106,7 @@
 
 // expectedEnd returns when the end of a run is expected to be known.
 func (scheduler *Scheduler) expectedEnd(now time.Time, run *run) time.Time {
-	took := time.Duration(float64(scheduler.runTime(run.task.step)) * run.worker.health.slowdownFactor())
+	took := time.Duration(float64(scheduler.runTime(run.task.step)) * run.worker.health.speed.Factor())
 	end := run.placedAt.Add(took)
 	if run.phase == phaseStopping {
 		end = now
