local: the report by team

A newcomer could not see that organisations share the cell. The report of the local run has a row for each team of the configuration: jobs, fates, waits, the most cores that its runs held at a time, and its quota; from the records of workers and callers, as the rest.

--- a/internal/local/reporter/reporter.go
+++ b/internal/local/reporter/reporter.go
@@ -73,7 +73,9 @@
 	Name string
 	Counts
 	Measures
-	Lines    []Line
+	Lines []Line
+	// Teams are those of the configuration.
+	Teams    []Team            `json:",omitempty"`
 	Failures map[string]string `json:",omitempty"`
 }
 
@@ -106,6 +108,7 @@
 	for index := range history.Callers.Requests {
 		analyzer.analyzeRequest(&history.Callers.Requests[index])
 	}
+	analyzer.analyzeTeams()
 	analyzer.analyzeRuns()
 	analyzer.analyzeWorkers()
 	analyzer.report.Measures = computeMeasures(history, analyzer)
--- a/internal/local/reporter/reporter_test.go
+++ b/internal/local/reporter/reporter_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"pomelomoor/internal/config/parser"
 	"pomelomoor/internal/gateway/executor"
 	"pomelomoor/internal/local/launcher"
 	"pomelomoor/internal/local/planner"
@@ -292,3 +295,46 @@
 		}
 	}
 }
+
+// TestTeams guards against a team's row that counts the jobs or the runs of another one, or adds up runs that were not at the
+// same time.
+func TestTeams(t *testing.T) {
+	history := validHistory()
+	history.Scenario.Jobs = make([]planner.JobLine, 2)
+	history.Scenario.Jobs[0].Job.Team = "north"
+	history.Scenario.Jobs[1].Job.Team = "south"
+	history.Callers.Jobs[1].Line = 1
+	history.Scenario.Config.Teams = []parser.Team{
+		{
+			Name: "north",
+			Quota: descriptor.Resources{
+				MilliCPU: 3000,
+			},
+		},
+		{
+			Name: "south",
+		},
+		{
+			Name: "idle",
+		},
+	}
+	report := reporter.New(history)
+	var got []string
+	for index := range report.Teams {
+		team := &report.Teams[index]
+		got = append(got, fmt.Sprintf("%s %d %v %d of %d", team.Name, team.Jobs, team.Fates, team.MostUsed, team.Quota.MilliCPU))
+	}
+	// The two tasks of job a and the service run at the same time, job b after them.
+	want := []string{
+		"north 2 map[Cancelled:1 Done:1] 3000 of 3000",
+		"south 1 map[Done:1] 1000 of 0",
+		"idle 0 map[] 0 of 0",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("teams %q, want %q", got, want)
+	}
+	var table bytes.Buffer
+	if err := report.WriteTable(&table); err != nil || !strings.Contains(table.String(), "MOST CORES") {
+		t.Errorf("table %s, error %v", table.String(), err)
+	}
+}
--- a/internal/local/reporter/table.go
+++ b/internal/local/reporter/table.go
@@ -35,6 +35,7 @@
 			missed, inTime, cmp.Or(formatCounts(line.Codes), "-"))
 	}
 	_, _ = fmt.Fprintln(table)
+	report.writeTeams(table)
 	for _, row := range report.summaryRows() {
 		_, _ = fmt.Fprintf(table, "%s\t%s\n", row[0], row[1])
 	}
