--- a/integration/cell/caps_test.go
+++ b/integration/cell/caps_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -135,6 +136,9 @@
 			for _, path := range paths {
 				cell.awaitStateWithKey(northKey, path, "completed")
 			}
+			if gauges := cell.organisationGauges("north"); !slices.Contains(gauges, "CapShare") || !slices.Contains(gauges, "CappedTasks") {
+				t.Errorf("the metrics have %v of north", gauges)
+			}
 			if most := cell.site.RunRecorder.MostUsed("north"); most > northCap {
 				t.Errorf("north had %d thousandths of a core running, its cap is %d", most, northCap)
 			}
@@ -143,6 +147,20 @@
 	}
 }
 
+// organisationGauges returns the names of the metrics that the instances have of an organisation.
+func (cell *cell) organisationGauges(organisation string) []string {
+	var names []string
+	for _, instance := range cell.instances {
+		for line := range strings.Lines(string(instance.metrics())) {
+			name, _, found := strings.Cut(line, `{Organisation="`+organisation+`"`)
+			if found {
+				names = append(names, strings.TrimPrefix(name, "Organisations."))
+			}
+		}
+	}
+	return names
+}
+
 // submitUntilAccepted submits a job again and again, by all instances in turn, until it is accepted.
 func (cell *cell) submitUntilAccepted(organisation, key, id string, tasks int) string {
 	cell.t.Helper()
@@ -189,6 +207,10 @@
 	if strings.Contains(string(answer.body), "planted-") {
 		t.Errorf("the answer holds a key: %s", answer.body)
 	}
+	const refusal = `Organisations.Refused{Organisation="north",Reason="Overload"} 1`
+	cell.await(startTimeout, "the refusal in the metrics", func() bool {
+		return strings.Contains(string(cell.instances[1].metrics()), refusal)
+	})
 	cell.checkNoKeys()
 	cell.checkViolations()
 }
--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -330,11 +330,7 @@
 	}
 }
 
-// state queries an instance for the state of a job. The state is empty without a response.
-func (cell *cell) state(instance int, path string) (status int, state string) {
-	return cell.stateWithKey("", instance, path)
-}
-
+// stateWithKey queries an instance for the state of a job. The state is empty without a response.
 func (cell *cell) stateWithKey(key string, instance int, path string) (status int, state string) {
 	answer := cell.callWithKey(key, http.MethodGet, instance, path, nil)
 	var response struct {
--- a/integration/cell/keys_test.go
+++ b/integration/cell/keys_test.go
@@ -232,6 +232,9 @@
 					t.Errorf("instance %d: status %d for a key that stayed", instance.index, status)
 				}
 			}
+			if logged := cell.logged("OrganisationChanged"); logged != len(tenants)*len(cell.instances) {
+				t.Errorf("%d lines about changes of organisations, want one for each at each instance", logged)
+			}
 			cell.checkNoKeys()
 		})
 	}
--- a/internal/cell/admitter/organisations_test.go
+++ b/internal/cell/admitter/organisations_test.go
@@ -124,7 +124,7 @@
 			call.Key, call.HasKey = describer.DigestKey(test.Key), true
 		}
 		route, err := admitter.Route(context.Background(), call)
-		checkOutcome(t, test.Name, test.Want, err)
+		_ = checkOutcome(t, test.Name, test.Want, err)
 		if route.Public != test.Public {
 			t.Errorf("%s: public %v", test.Name, route.Public)
 		}
