leader: what gives way, in the report of the load

Cause: an operator could not see whether work waits for room, behind others or for advice. Change: YieldingSteps, ExcessSteps and FreeShare in LeaderLoad and as gauges; pages.

--- a/internal/cell/leader/load.go
+++ b/internal/cell/leader/load.go
@@ -31,6 +31,8 @@
 	// Jobs counts the jobs that have not ended and WaitingSteps the steps with tasks to place, among them OverdueSteps
 	// whose jobs have no value left.
 	Jobs, WaitingSteps, OverdueSteps int
+	// Scarcity tells how much room there is and what gives way.
+	scheduler.Scarcity
 	// WaitingAdvice counts the requests that wait for an instance, WaitingStarts the starts that wait to be sent, and
 	// OpenStarts and OpenStops the orders that wait for an answer.
 	WaitingAdvice, WaitingStarts, OpenStarts, OpenStops int
@@ -73,6 +75,7 @@
 		}
 		load.Jobs, load.WaitingSteps, load.OverdueSteps = leader.scheduler.Backlog(now)
 		load.Organisations = leader.scheduler.OrganisationLoads()
+		load.Scarcity = leader.scheduler.Scarcity()
 		leader.mutex.Unlock()
 		load.Interval = now.Sub(start)
 		load.Processor = processorNow - processorStart
--- a/internal/cell/observer/observer.go
+++ b/internal/cell/observer/observer.go
@@ -265,6 +265,9 @@
 		"Leader.Jobs":          float64(load.Jobs),
 		"Leader.WaitingSteps":  float64(load.WaitingSteps),
 		"Leader.OverdueSteps":  float64(load.OverdueSteps),
+		"Leader.YieldingSteps": float64(load.YieldingSteps),
+		"Leader.ExcessSteps":   float64(load.ExcessSteps),
+		"Leader.FreeShare":     load.FreeShare,
 		"Leader.WaitingAdvice": float64(load.WaitingAdvice),
 	} {
 		observer.Scope.Gauge(name).Update(value)
@@ -281,6 +284,9 @@
 		slog.Int("Jobs", load.Jobs),
 		slog.Int("WaitingSteps", load.WaitingSteps),
 		slog.Int("OverdueSteps", load.OverdueSteps),
+		slog.Int("YieldingSteps", load.YieldingSteps),
+		slog.Int("ExcessSteps", load.ExcessSteps),
+		slog.Float64("FreeShare", load.FreeShare),
 		slog.Int("WaitingAdvice", load.WaitingAdvice),
 		slog.Int("WaitingStarts", load.WaitingStarts),
 		slog.Int("OpenStarts", load.OpenStarts),
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -139,6 +139,22 @@
 	return len(scheduler.jobs) - len(scheduler.ended), len(scheduler.waiting), overdueSteps
 }
 
+// Scarcity tells how much of the cell is free and how many of the waiting steps give way, as of the last pass.
+type Scarcity struct {
+	// FreeShare is the share of the CPU of the usable workers that is not allocated to runs.
+	FreeShare float64
+	// YieldingSteps could still be in time and yield to others. ExcessSteps are of jobs that their organisations are not
+	// entitled to.
+	YieldingSteps, ExcessSteps int
+}
+
+// Scarcity returns how scarce room was in the last pass.
+func (scheduler *Scheduler) Scarcity() Scarcity {
+	scarcity := scheduler.scarcity
+	scarcity.FreeShare = scheduler.freeShare
+	return scarcity
+}
+
 // Pass requests advice for the waiting steps and places their tasks, the most urgent step first.
 func (scheduler *Scheduler) Pass(now time.Time) {
 	if !scheduler.changed {
@@ -210,6 +226,15 @@
 	if scheduler.chooseYielding(now, queue) {
 		slices.SortFunc(queue, compareQueuedSteps)
 	}
+	scheduler.scarcity = Scarcity{}
+	for index := range queue {
+		if queue[index].yields {
+			scheduler.scarcity.YieldingSteps++
+		}
+		if queue[index].step.job.excess {
+			scheduler.scarcity.ExcessSteps++
+		}
+	}
 	return queue
 }
 
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	total         descriptor.Resources
 	// freeShare is the share of totalMilliCPU that is not allocated to runs.
 	freeShare float64
+	// scarcity counts the steps that gave way in the last pass.
+	scarcity Scarcity
 	// reserved holds the workers that are reserved for gangs in this pass, with the highest priority of their queues.
 	// deferrable means that the step being placed can wait and must not use them, givesWay that it must not use those of
 	// gangs whose queue is not below its own.
--- a/internal/node/logger/catalogue.go
+++ b/internal/node/logger/catalogue.go
@@ -688,7 +688,7 @@
 		Level:   slog.LevelInfo,
 		Name:    "LeaderLoad",
 		Text:    "load of the leader",
-		Meaning: "What the leader did in the last second. If `LongestPause` grows together with `WaitingSteps`, it falls behind. If `Processor` is near the instance's cores, it has no processor time left. `OverdueSteps` belong to jobs that are too late to be of use.",
+		Meaning: "What the leader did in the last second. If `LongestPause` grows together with `WaitingSteps`, it falls behind. If `Processor` is near the instance's cores, it has no processor time left. `OverdueSteps` belong to jobs that are too late to be of use, `YieldingSteps` give way to others since too little room is left for all, and `ExcessSteps` are of jobs that their organisations are not entitled to. `FreeShare` of the workers is free; with much of it free and many steps waiting, the advice service is what they wait for.",
 	},
 	{
 		Event:   EventEndsTruncated,
