--- a/internal/cell/estimator/estimator.go
+++ b/internal/cell/estimator/estimator.go
@@ -1,5 +1,5 @@
-// Package estimator learns how fast workers are and how long the way to them takes, and rates workers for a task by the
-// time that it would take there. It compares run times of one step only where it can: callers' estimates may be wrong by
+// Package estimator learns the speed of workers and the latency of orders to them, and rates workers for a task by the time
+// that it would take there. It compares run times of one step only where it can: callers' estimates may be wrong by
 // any factor, which is the same for all tasks of a step.
 package estimator
 
@@ -24,9 +24,9 @@
 	soleWeight = 0.2
 	// maxDeviation limits what one comparison tells, so that a single run that hangs doesn't decide.
 	maxDeviation = 1
-	// waySmoothing is the weight of a new sample in the moving average of a way.
-	waySmoothing = 0.1
-	// minWork is the shortest work for which a way counts in proportion.
+	// latencySmoothing is the weight of a new sample in the moving average of a latency.
+	latencySmoothing = 0.1
+	// minWork is the shortest work for which latency counts in proportion.
 	minWork = 50 * time.Millisecond
 	// maxSlackShare is the share of a step's slack that a poor worker may use up. What is left covers the delays that no
 	// choice of a worker avoids.
@@ -128,27 +128,27 @@
 	return true
 }
 
-// Way is how long an order to the workers of a data centre and its answer take, beyond what they take everywhere. The zero
-// value is that of a way not taken yet.
-type Way struct {
-	time time.Duration
+// Latency is how long orders to the workers of a data centre take to be answered. A task takes that much longer: its start
+// takes one half, the report of its end the other. The zero value means that no order was answered yet.
+type Latency struct {
+	average time.Duration
 }
 
 // Note adds a sample.
-func (way *Way) Note(sample time.Duration) {
-	if way.time == 0 {
-		way.time = sample
+func (latency *Latency) Note(sample time.Duration) {
+	if latency.average == 0 {
+		latency.average = sample
 		return
 	}
-	way.time += time.Duration(waySmoothing * float64(sample-way.time))
+	latency.average += time.Duration(latencySmoothing * float64(sample-latency.average))
 }
 
-// Time returns how long the way takes; 0 if it is not known or way is nil.
-func (way *Way) Time() time.Duration {
-	if way == nil {
+// Average returns the average; 0 if it is not known or latency is nil.
+func (latency *Latency) Average() time.Duration {
+	if latency == nil {
 		return 0
 	}
-	return way.time
+	return latency.average
 }
 
 // Task is what the choice of a worker for a task depends on.
@@ -159,23 +159,23 @@
 	Tight bool
 }
 
-// NewTask returns the task for the usual run time and the time until it has to start. The longest way to a worker is way.
-func NewTask(work, slack, way time.Duration) Task {
+// NewTask returns the task for the usual run time, the time until it has to start and the highest latency of any worker.
+func NewTask(work, slack, highest time.Duration) Task {
 	return Task{
 		Work:  work,
-		Tight: usualSpread*float64(work)+float64(way) > maxSlackShare*float64(slack),
+		Tight: usualSpread*float64(work)+float64(highest) > maxSlackShare*float64(slack),
 	}
 }
 
-// Factor returns the time that the task takes on a worker, with the way to it, by the usual run time. All sound workers
-// are alike to a task that has slack, so that the best ones are left to those that have none.
-func (task Task) Factor(speed *Speed, way *Way) float64 {
+// Factor returns the time that the task takes on a worker, with the latency of orders to it, by the usual run time. All
+// sound workers are alike to a task that has slack, so that the best ones are left to those that have none.
+func (task Task) Factor(speed *Speed, latency *Latency) float64 {
 	factor := speed.Factor()
 	if !task.Tight {
 		return max(factor, soundFactor)
 	}
 	if task.Work > 0 {
-		factor += float64(way.Time()) / float64(max(task.Work, minWork))
+		factor += float64(latency.Average()) / float64(max(task.Work, minWork))
 	}
 	return factor
 }
--- a/internal/cell/estimator/estimator_test.go
+++ b/internal/cell/estimator/estimator_test.go
@@ -39,7 +39,7 @@
 }
 
 // TestScripts runs the scripts in testdata. The first lines of each name the load that it answers. "run STEP WORKER TIME"
-// adds a run, "settle STEP" ends a step, "sole WORKER RATIO" notes a run alone, "way DATA-CENTRE TIME" a way, and "want"
+// adds a run, "settle STEP" ends a step, "sole WORKER RATIO" notes a run alone, "latency DATA-CENTRE TIME" an answer, and "want"
 // lines compare workers, at a data centre each, for a task of some work and slack, or check a worker's factor.
 func TestScripts(t *testing.T) {
 	for _, name := range []string{"estimates-off", "hung-run", "one-worker", "short-and-long", "speed-changes"} {
@@ -65,19 +65,19 @@
 }
 
 type script struct {
-	t       *testing.T
-	speeds  map[string]*Speed
-	ways    map[string]*Way
-	steps   map[string]*Comparison
-	longest time.Duration
+	t         *testing.T
+	speeds    map[string]*Speed
+	latencies map[string]*Latency
+	steps     map[string]*Comparison
+	highest   time.Duration
 }
 
 func newScript(t *testing.T) *script {
 	return &script{
-		t:      t,
-		speeds: map[string]*Speed{},
-		ways:   map[string]*Way{},
-		steps:  map[string]*Comparison{},
+		t:         t,
+		speeds:    map[string]*Speed{},
+		latencies: map[string]*Latency{},
+		steps:     map[string]*Comparison{},
 	}
 }
 
@@ -108,9 +108,9 @@
 			script.t.Fatal(err)
 		}
 		entry(script.speeds, words[1]).ObserveSole(ratio)
-	case "way":
-		entry(script.ways, words[1]).Note(script.duration(words[2]))
-		script.longest = max(script.longest, script.duration(words[2]))
+	case "latency":
+		entry(script.latencies, words[1]).Note(script.duration(words[2]))
+		script.highest = max(script.highest, script.duration(words[2]))
 	case "want":
 		script.want(words[1:])
 	default:
@@ -130,10 +130,10 @@
 		}
 		return
 	}
-	task := NewTask(script.duration(words[3]), script.duration(words[4]), script.longest)
+	task := NewTask(script.duration(words[3]), script.duration(words[4]), script.highest)
 	factor := func(place string) float64 {
 		worker, dataCentre, _ := strings.Cut(place, "@")
-		return task.Factor(entry(script.speeds, worker), entry(script.ways, dataCentre))
+		return task.Factor(entry(script.speeds, worker), entry(script.latencies, dataCentre))
 	}
 	left, right := factor(words[0]), factor(words[2])
 	if holds := map[string]bool{"<": left < right, "=": left == right}[words[1]]; !holds {
--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -239,7 +239,7 @@
 		if worker.canRun(step) && fits(step.Occupied(), worker.free()) {
 			found = append(found, rated{
 				id:     worker.id,
-				factor: task.Factor(&worker.health.speed, worker.way),
+				factor: task.Factor(&worker.health.speed, worker.latency),
 			})
 		}
 	}
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -259,7 +259,7 @@
 	if run.phase == phaseUnlisted || run.confirmedAt.IsZero() || run.number > 1 || step.Perpetual {
 		return
 	}
-	// The answer to the order and the report of the end take the way back alike.
+	// The answer to the order and the report of the end are under way for the same time.
 	step.runTimes.Add(&run.worker.health.speed, now.Sub(run.confirmedAt))
 	if step.Estimate <= 0 {
 		return
@@ -274,28 +274,28 @@
 
 // estimatorTask returns what the choice of a worker for the tasks of step depends on.
 func (scheduler *Scheduler) estimatorTask(now time.Time, step *step) estimator.Task {
-	return estimator.NewTask(scheduler.runTime(step), scheduler.latestStart(step).Sub(now)-reportDelay, scheduler.longestWay)
+	return estimator.NewTask(scheduler.runTime(step), scheduler.latestStart(step).Sub(now)-reportDelay, scheduler.highestLatency)
 }
 
-// wayTo returns the way to the workers of a data centre.
-func (scheduler *Scheduler) wayTo(dataCentre string) *estimator.Way {
-	way := scheduler.ways[dataCentre]
-	if way == nil {
-		way = &estimator.Way{}
-		scheduler.ways[dataCentre] = way
+// latencyOf returns the latency of orders to the workers of a data centre.
+func (scheduler *Scheduler) latencyOf(dataCentre string) *estimator.Latency {
+	latency := scheduler.latencies[dataCentre]
+	if latency == nil {
+		latency = &estimator.Latency{}
+		scheduler.latencies[dataCentre] = latency
 	}
-	return way
+	return latency
 }
 
-// noteWay notes how long an order took from its placement to its answer.
-func (scheduler *Scheduler) noteWay(now time.Time, run *run) {
-	if run.worker.way == nil || run.phase != phaseStarting {
+// noteLatency notes how long a run took from its placement to the answer to its start order.
+func (scheduler *Scheduler) noteLatency(now time.Time, run *run) {
+	if run.worker.latency == nil || run.phase != phaseStarting {
 		return
 	}
-	run.worker.way.Note(now.Sub(run.placedAt))
-	scheduler.longestWay = 0
-	for _, way := range scheduler.ways {
-		scheduler.longestWay = max(scheduler.longestWay, way.Time())
+	run.worker.latency.Note(now.Sub(run.placedAt))
+	scheduler.highestLatency = 0
+	for _, latency := range scheduler.latencies {
+		scheduler.highestLatency = max(scheduler.highestLatency, latency.Average())
 	}
 }
 
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -493,7 +493,7 @@
 // and among similar ones those with the least free CPU.
 func (scheduler *Scheduler) score(worker *worker, task *task, estimated estimator.Task, free descriptor.Resources) float64 {
 	step := task.step
-	factor := estimated.Factor(&worker.health.speed, worker.way)
+	factor := estimated.Factor(&worker.health.speed, worker.latency)
 	if step.NearRack != "" && step.NearRack != worker.description.Rack {
 		factor *= scheduler.options.RemoteFactor
 	}
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -179,7 +179,7 @@
 		run.confirmedAt = time.Time{}
 		scheduler.orderStop(run, "run was stopped while it was starting")
 	case err == nil:
-		scheduler.noteWay(now, run)
+		scheduler.noteLatency(now, run)
 		if run.phase == phaseStarting {
 			run.phase = phaseRunning
 		}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -96,9 +96,9 @@
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[*job]struct{}
 	queues    map[string]*queueStats
-	// ways holds the ways to the workers by data centre, and longestWay the time that the longest takes.
-	ways       map[string]*estimator.Way
-	longestWay time.Duration
+	// latencies holds the latencies of orders to workers by data centre, and highestLatency the highest average.
+	latencies      map[string]*estimator.Latency
+	highestLatency time.Duration
 	// accounts holds what each organisation has running, by name.
 	accounts map[string]*accountant.Account
 	// capBlocked holds the organisations whose cap keeps a gang waiting in this pass, so that their later steps wait too.
@@ -325,7 +325,7 @@
 		waiting:   map[*step]struct{}{},
 		scheduled: map[*job]struct{}{},
 		queues:    map[string]*queueStats{},
-		ways:      map[string]*estimator.Way{},
+		latencies: map[string]*estimator.Latency{},
 
 		accounts:   map[string]*accountant.Account{},
 		capBlocked: map[*accountant.Account]bool{},
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -97,8 +97,8 @@
 	// truncatedEnd is the number of the last end in the latest list of ends that was truncated.
 	truncatedEnd int64
 	health       health
-	// way is the one to the data centre of the worker.
-	way *estimator.Way
+	// latency is that of orders to the worker's data centre.
+	latency *estimator.Latency
 	// drainingSince is when the worker first reported that it is draining; zero while it is not.
 	drainingSince time.Time
 	// heldFor is the lasting step for which capacity of the worker was kept last, until its heldUntil.
@@ -161,7 +161,7 @@
 	}
 	worker.noteDraining(now, description)
 	worker.description = description
-	worker.way = scheduler.wayTo(description.DataCentre)
+	worker.latency = scheduler.latencyOf(description.DataCentre)
 	scheduler.changed = true
 	scheduler.releaseExcess(now, worker)
 }
