advisor: a failure is noted before its request is made again

Cause: the scheduler learnt of a failed request before the advisor did, and its next pass could send the request again through the instance that had just failed.

Change: the function that sends a request returns the one that delivers its answer, which is called once a failure is noted. The fakes of the tests follow; that of TestFailures asks again when it is delivered, as the leader does. What the tests check is as before.

--- a/internal/cell/advisor/advisor.go
+++ b/internal/cell/advisor/advisor.go
@@ -40,8 +40,9 @@
 	nearInterval = time.Second
 )
 
-// SendFunc sends a request through an instance and delivers the answer.
-type SendFunc func(ctx context.Context, instance string, request scheduler.AdviceRequest) error
+// SendFunc sends a request through an instance. The function that it returns, if any, delivers the answer or the failure. It
+// is called once a failure is noted, so that a request that is made again then goes through another instance or waits.
+type SendFunc func(ctx context.Context, instance string, request scheduler.AdviceRequest) (deliver func(), err error)
 
 // Advisor queues advice requests until an instance can send them. It is safe for concurrent use.
 type Advisor struct {
@@ -363,9 +364,12 @@
 func (advisor *Advisor) send(ctx context.Context, instance *instance, request scheduler.AdviceRequest, expected time.Duration, long bool) {
 	callCtx, cancel := context.WithTimeout(ctx, expected+timeoutMargin)
 	startTime := time.Now()
-	err := advisor.sendRequest(callCtx, instance.name, request)
+	deliver, err := advisor.sendRequest(callCtx, instance.name, request)
 	overhead := max(time.Since(startTime)-expected, 0)
 	cancel()
+	if deliver != nil {
+		defer deliver()
+	}
 	advisor.mutex.Lock()
 	defer advisor.mutex.Unlock()
 	instance.openRequests--
--- a/internal/cell/advisor/advisor_test.go
+++ b/internal/cell/advisor/advisor_test.go
@@ -21,13 +21,13 @@
 		defer cancel()
 		sent := make(chan scheduler.AdviceRequest, 100)
 		release := make(chan struct{})
-		advisor := New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) error {
+		advisor := New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) (func(), error) {
 			sent <- request
 			select {
 			case <-release:
 			case <-ctx.Done():
 			}
-			return nil
+			return nil, nil
 		})
 		advisor.SetInstances(ctx, []string{"a", "b", "c", "d"})
 		var requests []scheduler.AdviceRequest
@@ -85,12 +85,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		release := make(chan struct{})
-		advisor := New(func(ctx context.Context, _ string, _ scheduler.AdviceRequest) error {
+		advisor := New(func(ctx context.Context, _ string, _ scheduler.AdviceRequest) (func(), error) {
 			select {
 			case <-release:
 			case <-ctx.Done():
 			}
-			return nil
+			return nil, nil
 		})
 		var names []string
 		for index := range 147 {
@@ -128,7 +128,7 @@
 		var mutex sync.Mutex
 		var sent []string
 		release := make(chan struct{})
-		advisor := New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) error {
+		advisor := New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) (func(), error) {
 			mutex.Lock()
 			sent = append(sent, string(request.Step.Job))
 			mutex.Unlock()
@@ -136,7 +136,7 @@
 			case <-release:
 			case <-ctx.Done():
 			}
-			return nil
+			return nil, nil
 		})
 		advisor.SetInstances(ctx, []string{"a"})
 		advisor.Add(ctx, []scheduler.AdviceRequest{testRequest("open-1", time.Minute), testRequest("open-2", time.Minute)})
@@ -162,9 +162,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		advisor := New(func(ctx context.Context, _ string, _ scheduler.AdviceRequest) error {
+		advisor := New(func(ctx context.Context, _ string, _ scheduler.AdviceRequest) (func(), error) {
 			<-ctx.Done()
-			return ctx.Err()
+			return nil, ctx.Err()
 		})
 		count := func(expected time.Duration) int {
 			room, taken := advisor.Room(), 0
--- a/internal/cell/advisor/failure_test.go
+++ b/internal/cell/advisor/failure_test.go
@@ -33,15 +33,16 @@
 				sent := 0
 				answered := make(chan struct{})
 				var advisor *Advisor
-				advisor = New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) error {
+				advisor = New(func(ctx context.Context, _ string, request scheduler.AdviceRequest) (func(), error) {
 					sent++
 					if sent > test.failures {
 						close(answered)
-						return nil
+						return nil, nil
 					}
-					// The scheduler asks again.
-					go advisor.Add(ctx, []scheduler.AdviceRequest{request})
-					return errors.New("the connection was lost")
+					return func() {
+						// The scheduler asks again.
+						advisor.Add(ctx, []scheduler.AdviceRequest{request})
+					}, errors.New("the connection was lost")
 				})
 				advisor.SetInstances(ctx, []string{"a"})
 				start := time.Now()
--- a/internal/cell/advisor/queue_test.go
+++ b/internal/cell/advisor/queue_test.go
@@ -25,13 +25,13 @@
 		var failing atomic.Bool
 		var answered atomic.Int64
 		failing.Store(true)
-		advisor := New(func(context.Context, string, scheduler.AdviceRequest) error {
+		advisor := New(func(context.Context, string, scheduler.AdviceRequest) (func(), error) {
 			time.Sleep(10 * time.Millisecond)
 			if failing.Load() {
-				return errors.New("the service does not answer")
+				return nil, errors.New("the service does not answer")
 			}
 			answered.Add(1)
-			return nil
+			return nil, nil
 		})
 		advisor.SetInstances(ctx, []string{"a", "b", "c"})
 		number := 0
@@ -75,7 +75,7 @@
 		var short, long atomic.Int64
 		// The service answers each instance one request at a time.
 		var services sync.Map
-		advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) error {
+		advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) (func(), error) {
 			service, _ := services.LoadOrStore(instance, make(chan struct{}, 1))
 			turn, _ := service.(chan struct{})
 			turn <- struct{}{}
@@ -86,7 +86,7 @@
 			} else {
 				short.Add(1)
 			}
-			return nil
+			return nil, nil
 		})
 		advisor.SetInstances(ctx, []string{"a", "b", "c", "d"})
 		for number := range 100 * 24 {
--- a/internal/cell/advisor/slack_test.go
+++ b/internal/cell/advisor/slack_test.go
@@ -45,7 +45,7 @@
 				defer cancel()
 				var mutex sync.Mutex
 				sent := map[describer.JobID]string{}
-				advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) error {
+				advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) (func(), error) {
 					mutex.Lock()
 					sent[request.Step.Job] = instance
 					mutex.Unlock()
@@ -53,7 +53,7 @@
 						time.Sleep(far)
 					}
 					time.Sleep(request.ExpectedDuration)
-					return nil
+					return nil, nil
 				})
 				advisor.SetInstances(ctx, []string{"far-1", "far-2", "near-1", "near-2"})
 				for round := range 20 {
@@ -96,7 +96,7 @@
 		defer cancel()
 		var mutex sync.Mutex
 		sent := map[describer.JobID]string{}
-		advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) error {
+		advisor := New(func(_ context.Context, instance string, request scheduler.AdviceRequest) (func(), error) {
 			mutex.Lock()
 			sent[request.Step.Job] = instance
 			mutex.Unlock()
@@ -104,7 +104,7 @@
 				time.Sleep(150 * time.Millisecond)
 			}
 			time.Sleep(request.ExpectedDuration)
-			return nil
+			return nil, nil
 		})
 		names := []string{"near-1", "near-2"}
 		for index := range 8 {
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -436,13 +436,14 @@
 	}
 }
 
-// requestAdvice requests advice through an instance and passes the answer to the scheduler.
-func (leader *Leader) requestAdvice(ctx context.Context, instance string, request scheduler.AdviceRequest) error {
+// requestAdvice requests advice through an instance. The function that it returns passes the answer to the scheduler.
+func (leader *Leader) requestAdvice(ctx context.Context, instance string, request scheduler.AdviceRequest) (deliver func(), err error) {
 	answer, err := leader.options.RequestAdvice(ctx, instance, request)
-	leader.update("advice for "+request.Step.String(), func(now time.Time) {
-		leader.scheduler.AdviceAnswered(now, request.Step, request.Workers, answer, err)
-	})
-	return err
+	return func() {
+		leader.update("advice for "+request.Step.String(), func(now time.Time) {
+			leader.scheduler.AdviceAnswered(now, request.Step, request.Workers, answer, err)
+		})
+	}, err
 }
 
 // recordSource exposes the scheduler's records to the persister. It implements persister.Source.
