scheduler: organisations above their share yield

Change: an organisation that has more than 1.25 times its dominant share running yields to others that are in time; nothing is stopped.

--- a/internal/cell/leader/simulation_test.go
+++ b/internal/cell/leader/simulation_test.go
@@ -121,17 +121,21 @@
 	jobs    []*submission
 	// processor is the processor of the leader.
 	processor *fakeProcessor
+	// hot assigns the jobs to organisations; nil if there are none.
+	hot *hotCallers
 }
 
 // submission is a job and the outcome that its caller sees.
 type submission struct {
-	class     int
-	id        describer.JobID
-	at        time.Time
-	objective time.Duration
-	work      float64
-	failed    bool
-	ended     time.Time
+	class int
+	// organisation is the one that sent the job; empty without organisations.
+	organisation string
+	id           describer.JobID
+	at           time.Time
+	objective    time.Duration
+	work         float64
+	failed       bool
+	ended        time.Time
 }
 
 func newSimulation(t *testing.T, load Load) *simulation {
@@ -246,6 +250,7 @@
 	for time.Since(startTime) < seconds(simulation.load.Seconds) {
 		for index := range simulation.load.Classes {
 			expected := simulation.arrivalRate(index, time.Since(startTime).Seconds()) * slice.Seconds()
+			simulation.hot.submitExtra(simulation, index, time.Since(startTime).Seconds(), expected)
 			for ; simulation.random.Float64() < expected; expected-- {
 				simulation.submitJob(index)
 			}
@@ -278,14 +283,16 @@
 func (simulation *simulation) submitJob(index int) {
 	class := simulation.load.Classes[index]
 	job := &describer.Job{
-		ID:        describer.JobID(workerName(len(simulation.jobs))),
-		Queue:     class.Name,
-		Submitted: time.Now(),
+		ID:           describer.JobID(workerName(len(simulation.jobs))),
+		Queue:        class.Name,
+		Submitted:    time.Now(),
+		Organisation: simulation.hot.organisation(simulation.random),
 	}
 	submitted := &submission{
-		class: index,
-		id:    job.ID,
-		at:    job.Submitted,
+		class:        index,
+		organisation: job.Organisation,
+		id:           job.ID,
+		at:           job.Submitted,
 	}
 	var criticalPath time.Duration
 	steps := max(int(math.Round(simulation.logNormal(class.Steps, class.StepsSpread))), 1)
@@ -409,28 +416,39 @@
 	}
 }
 
-// checkScore compares the score with the required one. The largest tenth of the jobs of the first class, whose jobs
-// are gangs, counts as a separate class.
-func (simulation *simulation) checkScore() {
+// meanWork returns the mean work of the jobs of each class, and that from which a job is among the largest tenth of the
+// first class.
+func (simulation *simulation) meanWork() (means []float64, largeThreshold float64) {
 	jobWork := make([][]float64, len(simulation.load.Classes))
 	for _, job := range simulation.jobs {
 		jobWork[job.class] = append(jobWork[job.class], job.work)
 	}
-	means := make([]float64, len(jobWork))
+	means = make([]float64, len(jobWork))
 	for class, work := range jobWork {
 		slices.Sort(work)
 		for _, value := range work {
 			means[class] += value / float64(len(work))
 		}
 	}
-	largeThreshold := jobWork[0][len(jobWork[0])*9/10]
-	classes := make([]score, len(jobWork))
+	return means, jobWork[0][len(jobWork[0])*9/10]
+}
+
+// worth returns the worth of a job, given the mean work of each class.
+func (simulation *simulation) worth(job *submission, means []float64) float64 {
+	return simulation.load.Classes[job.class].Worth * min(minWorthFactor+(1-minWorthFactor)*job.work/means[job.class], maxWorthFactor)
+}
+
+// checkScore compares the score with the required one. The largest tenth of the jobs of the first class, whose jobs
+// are gangs, counts as a separate class.
+func (simulation *simulation) checkScore() {
+	means, largeThreshold := simulation.meanWork()
+	classes := make([]score, len(means))
 	var all, largest score
 	for _, job := range simulation.jobs {
 		if job.failed {
 			continue
 		}
-		worth := simulation.load.Classes[job.class].Worth * min(minWorthFactor+(1-minWorthFactor)*job.work/means[job.class], maxWorthFactor)
+		worth := simulation.worth(job, means)
 		all.add(worth, job.earnedShare())
 		classes[job.class].add(worth, job.earnedShare())
 		if job.class == 0 && job.work >= largeThreshold {
--- a/internal/cell/scheduler/yielding.go
+++ b/internal/cell/scheduler/yielding.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"pomelomoor/internal/placement/accountant"
 	"pomelomoor/internal/placement/yielder"
+	"pomelomoor/internal/work/descriptor"
 )
 
 // entitle decides for the jobs that are new in the queue whether their organisations are entitled to them.
@@ -25,6 +27,34 @@
 	}
 }
 
+// maxOverShare is the multiple of its fair share of the cell up to which an organisation does not yield to others.
+const maxOverShare = 1.25
+
+// overShare returns the accounts of the organisations that have more of the cell running than their weight gives them
+// beside the other organisations that have work. Their waiting steps yield: an unused share is lent, and comes back as
+// runs end.
+func (scheduler *Scheduler) overShare(queue []queuedStep) map[*accountant.Account]bool {
+	active := map[*accountant.Account]bool{}
+	for index := range queue {
+		if account := queue[index].step.job.account; account != nil {
+			active[account] = true
+		}
+	}
+	weights := 0.0
+	for _, account := range scheduler.accounts {
+		if active[account] || account.Used() != (descriptor.Resources{}) {
+			weights += account.Weight
+		}
+	}
+	over := map[*accountant.Account]bool{}
+	for account := range active {
+		if account.Share(scheduler.total)*weights > maxOverShare {
+			over[account] = true
+		}
+	}
+	return over
+}
+
 // chooseYielding marks the steps that yield, if there is too little room to end all those in time that still can. The queue
 // is ordered. It reports whether any step yields. While the running and the waiting work together fit into the cell, none
 // does.
@@ -32,11 +62,18 @@
 	var items []yielder.Work
 	var indices []int
 	waiting := 0.0
+	anyYields := false
+	over := scheduler.overShare(queue)
 	for index := range queue {
 		queued := &queue[index]
 		if queued.lateness > 0 || queued.step.Perpetual {
 			continue
 		}
+		if over[queued.step.job.account] {
+			queued.yields = true
+			anyYields = true
+			continue
+		}
 		amount := scheduler.amount(queued.step)
 		waiting += amount
 		items = append(items, yielder.Work{
@@ -50,7 +87,7 @@
 		indices = append(indices, index)
 	}
 	if len(items) < 2 || waiting < scheduler.freeShare {
-		return false
+		return anyYields
 	}
 	order := make([]int, len(items))
 	for index := range order {
@@ -63,14 +100,13 @@
 	for position, index := range order {
 		sorted[position] = items[index]
 	}
-	any := false
 	for position, yields := range yielder.Choose(now, scheduler.supply(now), sorted) {
 		if yields {
 			queue[indices[order[position]]].yields = true
-			any = true
+			anyYields = true
 		}
 	}
-	return any
+	return anyYields
 }
 
 // amount returns the share of the cell that the waiting tasks of step occupy, times the seconds that they take.
