limiter: room is free once it was collected; busy connections end while others wait

Change: what a call gives back is used again after a collection, which a waiting call starts. First buffers of long bodies are used again. While a new connection waits, an answer on one that is older than 1 s closes it. New connections between instances do not wait.

--- a/internal/node/limiter/body.go
+++ b/internal/node/limiter/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -13,13 +14,20 @@
 	FirstBufferBytes = 16 << 10
 	// decodedObjectBytes, decodedElementBytes and decodedCopies are the memory that decoding a JSON document takes for each
 	// object and each other element in it, and how often its text is copied until the call has ended.
-	decodedObjectBytes  = 1024
+	decodedObjectBytes  = 512
 	decodedElementBytes = 40
 	decodedCopies       = 2
 	// maxDecodedShare is the part of the budget that one document can take, so that each can be served in calm.
 	maxDecodedShare = 2
 )
 
+// firstBuffers holds first buffers of bodies that turned out to be longer.
+var firstBuffers = sync.Pool{
+	New: func() any {
+		return new([FirstBufferBytes]byte)
+	},
+}
+
 // ErrTooLarge means that a body is larger than its limit.
 var ErrTooLarge = errors.New("body is too large")
 
@@ -40,7 +48,7 @@
 			first = false
 			return nil
 		}
-		if err := conn.await(request.Context(), bytes); err != nil {
+		if err := conn.await(request.Context(), bytes, ReasonBody); err != nil {
 			return err
 		}
 		if !grown {
@@ -53,7 +61,7 @@
 		return nil, err
 	}
 	if decoded := DecodedBytes(body); decoded > ConnectionBytes {
-		if err := conn.await(request.Context(), min(decoded, conn.limiter.maxBytes/maxDecodedShare)); err != nil {
+		if err := conn.await(request.Context(), min(decoded, conn.limiter.maxBytes/maxDecodedShare), ReasonBody); err != nil {
 			return nil, err
 		}
 	}
@@ -91,7 +99,14 @@
 	if err := reserve(size); err != nil {
 		return nil, err
 	}
-	body := make([]byte, 0, size)
+	var first *[FirstBufferBytes]byte
+	var body []byte
+	if size == FirstBufferBytes {
+		first = firstBuffers.Get().(*[FirstBufferBytes]byte)
+		body = first[:0]
+	} else {
+		body = make([]byte, 0, size)
+	}
 	for {
 		if len(body) == cap(body) {
 			size = min(2*int64(cap(body)), maxBytes+1)
@@ -102,6 +117,10 @@
 				return nil, err
 			}
 			body = append(make([]byte, 0, size), body...)
+			if first != nil {
+				firstBuffers.Put(first)
+				first = nil
+			}
 		}
 		count, err := request.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -60,7 +60,8 @@
 }
 
 // LimitListener returns a listener that bounds the connections of netListener, whatever protocol they carry. A connection
-// counts as idle since its last bytes arrived.
+// counts as idle since its last bytes arrived. New connections do not wait for a place, so that what they send is not left
+// in the large receive buffers of such listeners.
 func (port *Port) LimitListener(netListener net.Listener) net.Listener {
 	return &listener{
 		Listener: netListener,
@@ -80,6 +81,9 @@
 	defer func() {
 		port.limiter.end(conn.account, time.Now())
 	}()
+	if port.limiter.isLast(conn.account, time.Now) {
+		writer.Header().Set("Connection", "close")
+	}
 	next.ServeHTTP(writer, request)
 }
 
@@ -143,7 +147,7 @@
 		if victim != nil {
 			victim.close()
 		}
-		if admitted != nil || now.Sub(start) > maxAdmission {
+		if admitted != nil || !listener.isHTTP || now.Sub(start) > maxAdmission {
 			return admitted
 		}
 	}
@@ -184,9 +188,8 @@
 	}
 	lines := bytes.Count(arrived, []byte{'\n'})
 	reserve, err := conn.limiter.received(conn.account, int64(len(arrived)), int64(lines), time.Now)
-	if err == nil && reserve > 0 && !conn.reserve(reserve) {
-		conn.limiter.refuse(conn.account.port, ReasonHeader)
-		return ErrNoRoom
+	if err == nil && reserve > 0 {
+		return conn.await(context.Background(), reserve, ReasonHeader)
 	}
 	return err
 }
@@ -197,11 +200,14 @@
 	for _, victim := range victims {
 		victim.close()
 	}
+	if !granted {
+		conn.limiter.collect()
+	}
 	return granted
 }
 
-// await takes bytes from the budget and waits for them if there is hope.
-func (conn *conn) await(ctx context.Context, bytes int64) error {
+// await takes bytes from the budget and waits for them if there is hope. The reason is that of a refusal.
+func (conn *conn) await(ctx context.Context, bytes int64, reason Reason) error {
 	if conn.reserve(bytes) {
 		return nil
 	}
@@ -221,7 +227,7 @@
 			}
 		}
 	}
-	conn.limiter.refuse(conn.account.port, ReasonBody)
+	conn.limiter.refuse(conn.account.port, reason)
 	return ErrNoRoom
 }
 
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"runtime"
 	"sync"
 	"time"
 
@@ -77,19 +78,38 @@
 type Limiter struct {
 	maxBytes int64
 
+	// whenCollected calls free once the garbage collector has run. Tests replace it.
+	whenCollected func(free func())
+
 	mutex     sync.Mutex
 	usedBytes int64
-	waiting   int
-	ports     []*Port
+	// uncollectedBytes is the part of usedBytes that calls have given back and that was not collected yet. collecting means
+	// that a collection was started for them.
+	uncollectedBytes int64
+	collecting       bool
+	waiting          int
+	ports            []*Port
 }
 
 // New returns a limiter whose clients use at most maxBytes beside ConnectionBytes for each connection.
 func New(maxBytes int64) *Limiter {
 	return &Limiter{
-		maxBytes: maxBytes,
+		maxBytes:      maxBytes,
+		whenCollected: whenCollected,
 	}
 }
 
+// collection becomes garbage at once, so that its clean-up runs after the next collection.
+type collection struct {
+	self *collection
+}
+
+func whenCollected(free func()) {
+	runtime.AddCleanup(&collection{}, func(free func()) {
+		free()
+	}, free)
+}
+
 // Port bounds the connections to one listening port.
 type Port struct {
 	limiter        *Limiter
@@ -97,6 +117,8 @@
 	maxConnections int
 	accounts       map[*account]struct{}
 	refused        map[Reason]int64
+	// crowded means that a new connection waits for a place.
+	crowded bool
 }
 
 // NewPort adds a port with a name for metrics and a limit on its connections.
@@ -120,8 +142,9 @@
 	// close closes the connection. It is called without the mutex.
 	close func()
 	phase phase
-	// since is when the phase began.
-	since time.Time
+	// admitted is when the connection was admitted, and since when its phase began.
+	admitted time.Time
+	since    time.Time
 	// blockedSince is when a write began that has not ended; zero without one.
 	blockedSince time.Time
 	// receivedBytes is the size of the incomplete call so far.
@@ -190,16 +213,19 @@
 	defer port.limiter.mutex.Unlock()
 	if len(port.accounts) >= port.maxConnections {
 		if victim = port.victim(now); victim == nil {
+			port.crowded = true
 			return nil, nil
 		}
 		port.evict(victim)
 		// The place of the victim is free once its connection is closed, which the caller does before it goes on.
 		delete(port.accounts, victim)
 	}
+	port.crowded = false
 	admitted = &account{
-		port:  port,
-		close: closeConn,
-		since: now,
+		port:     port,
+		close:    closeConn,
+		admitted: now,
+		since:    now,
 	}
 	port.accounts[admitted] = struct{}{}
 	return admitted, victim
@@ -264,10 +290,37 @@
 	return false, victims
 }
 
-// release gives back what the call of the connection holds.
+// release gives back what the call of the connection holds. It can be used again once it was collected: many large
+// documents in a row would otherwise fill the memory while the collector is behind.
 func (limiter *Limiter) release(account *account) {
-	limiter.usedBytes -= account.heldBytes
+	bytes := account.heldBytes
+	if bytes == 0 {
+		return
+	}
 	account.heldBytes = 0
+	limiter.uncollectedBytes += bytes
+	limiter.whenCollected(func() {
+		limiter.mutex.Lock()
+		defer limiter.mutex.Unlock()
+		limiter.usedBytes -= bytes
+		limiter.uncollectedBytes -= bytes
+	})
+}
+
+// collect starts a collection if calls wait for what others have given back.
+func (limiter *Limiter) collect() {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if limiter.uncollectedBytes == 0 || limiter.collecting {
+		return
+	}
+	limiter.collecting = true
+	go func() {
+		runtime.GC()
+		limiter.mutex.Lock()
+		defer limiter.mutex.Unlock()
+		limiter.collecting = false
+	}()
 }
 
 // received notes bytes that have arrived on a connection. It returns the memory that has to be reserved for them before
@@ -297,6 +350,13 @@
 	return max(2*account.headerBytes+headerLineBytes*account.headerLines-account.heldBytes, 0), nil
 }
 
+// isLast reports whether the connection has to be closed with the answer to its call, since others wait for its place.
+func (limiter *Limiter) isLast(account *account, now func() time.Time) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	return account.port.crowded && now().Sub(account.admitted) > minIdle
+}
+
 // active notes that bytes have arrived on a connection whose calls the limiter does not know.
 func (limiter *Limiter) active(account *account, now time.Time) error {
 	limiter.mutex.Lock()
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -25,6 +25,17 @@
 	testClock.now = testClock.now.Add(by)
 }
 
+// newLimiter returns a limiter for which memory is free as soon as it is given back.
+func newLimiter(maxBytes int64) *Limiter {
+	limiter := New(maxBytes)
+	limiter.whenCollected = func(free func()) {
+		limiter.mutex.Unlock()
+		free()
+		limiter.mutex.Lock()
+	}
+	return limiter
+}
+
 // open admits a connection or fails the test.
 func open(t *testing.T, port *Port, clock *testClock) *account {
 	t.Helper()
@@ -101,7 +112,7 @@
 	for _, state := range states {
 		t.Run(state.name, func(t *testing.T) {
 			clock := newTestClock()
-			limiter := New(1 << 20)
+			limiter := newLimiter(1 << 20)
 			port := limiter.NewPort("Front", 2)
 			holder, busy := open(t, port, clock), open(t, port, clock)
 			if err := limiter.begin(busy, false, clock.read); err != nil {
@@ -133,7 +144,7 @@
 // TestOrderOfGivingWay guards against a caller whose connection is closed although another holds one without progress.
 func TestOrderOfGivingWay(t *testing.T) {
 	clock := newTestClock()
-	limiter := New(1 << 20)
+	limiter := newLimiter(1 << 20)
 	port := limiter.NewPort("Front", 4)
 	used := open(t, port, clock)
 	idle := open(t, port, clock)
@@ -157,11 +168,37 @@
 	}
 }
 
+// TestBusyConnectionsEnd guards against a new caller that finds no place since others make call after call on their
+// connections.
+func TestBusyConnectionsEnd(t *testing.T) {
+	clock := newTestClock()
+	limiter := newLimiter(1 << 20)
+	port := limiter.NewPort("Front", 1)
+	busy := open(t, port, clock)
+	clock.advance(2 * minIdle)
+	if err := limiter.begin(busy, false, clock.read); err != nil {
+		t.Fatal(err)
+	}
+	if limiter.isLast(busy, clock.read) {
+		t.Error("a connection ends although nobody waits")
+	}
+	if admitted, _ := port.admit(clock.now, func() {}); admitted != nil {
+		t.Error("a call in progress gave way")
+	}
+	if !limiter.isLast(busy, clock.read) {
+		t.Error("a busy connection goes on although another waits")
+	}
+	limiter.leave(busy)
+	if next := open(t, port, clock); limiter.isLast(next, clock.read) {
+		t.Error("a new connection ends with its first call")
+	}
+}
+
 // TestBudget guards against bodies whose sum exceeds the budget, and against a call that gets no room although stalled
 // bodies hold it.
 func TestBudget(t *testing.T) {
 	clock := newTestClock()
-	limiter := New(1000)
+	limiter := newLimiter(1000)
 	port := limiter.NewPort("Front", 10)
 	first, second := open(t, port, clock), open(t, port, clock)
 	if granted, _ := limiter.reserve(first, 600, clock.now); !granted {
@@ -193,7 +230,7 @@
 // still uses the body.
 func TestHandlerKeepsRoom(t *testing.T) {
 	clock := newTestClock()
-	limiter := New(1000)
+	limiter := newLimiter(1000)
 	account := open(t, limiter.NewPort("Front", 10), clock)
 	if err := limiter.begin(account, true, clock.read); err != nil {
 		t.Fatal(err)
@@ -228,7 +265,7 @@
 	for _, rate := range rates {
 		t.Run(fmt.Sprint(rate.bytesPerSecond), func(t *testing.T) {
 			clock := newTestClock()
-			limiter := New(1 << 20)
+			limiter := newLimiter(1 << 20)
 			account := open(t, limiter.NewPort("Front", 1), clock)
 			if err := limiter.begin(account, true, clock.read); err != nil {
 				t.Fatal(err)
@@ -250,7 +287,7 @@
 // ordinary header that draws on the budget.
 func TestHeaders(t *testing.T) {
 	clock := newTestClock()
-	limiter := New(1 << 20)
+	limiter := newLimiter(1 << 20)
 	account := open(t, limiter.NewPort("Front", 1), clock)
 	if reserve, err := limiter.received(account, 1000, 20, clock.read); reserve != 0 || err != nil {
 		t.Errorf("an ordinary header reserves %d bytes: %v", reserve, err)
