scheduler: runs of ended jobs count under the next leader

Cause: the final record of a job names no runs, so that a leader which began before the runs of a failed or cancelled job had stopped started others of the organisation above its cap; the model found it once in 3,000 histories. Change: the final record tells what the runs took up, and the next leader charges it until their leases have lapsed for certain.

--- a/internal/cell/scheduler/organisations.go
+++ b/internal/cell/scheduler/organisations.go
@@ -2,10 +2,27 @@
 
 import (
 	"math"
+	"slices"
+	"time"
 
 	"pomelomoor/internal/placement/accountant"
+	"pomelomoor/internal/work/descriptor"
 )
 
+// maxHeld limits what a record may say that the runs of an ended job take up, so that amounts can be added up.
+var maxHeld = descriptor.Resources{
+	MilliCPU:     1 << 50,
+	MemoryBytes:  1 << 60,
+	Accelerators: 1 << 50,
+}
+
+// hold is what runs of an ended job may take up until a time by which their leases have lapsed for certain.
+type hold struct {
+	account *accountant.Account
+	amount  descriptor.Resources
+	until   time.Time
+}
+
 // account returns the account of an organisation, or nil if its name is empty. That of an organisation that the
 // configuration no longer holds keeps its last cap for the rest of the term.
 func (scheduler *Scheduler) account(name string) *accountant.Account {
@@ -86,3 +103,49 @@
 	}
 	return true
 }
+
+// heldByRuns returns what the runs of the job take up that may have started, if it belongs to an organisation.
+func (job *job) heldByRuns() descriptor.Resources {
+	var held descriptor.Resources
+	if job.account == nil {
+		return held
+	}
+	for _, occurrence := range job.occurrences {
+		for _, step := range occurrence.steps {
+			for _, task := range step.tasks {
+				if task.active != nil && task.active.phase != phaseIntended && task.active.phase != phaseUnlisted {
+					held = held.Add(step.Needs)
+				}
+			}
+		}
+	}
+	return held
+}
+
+// holdEnded charges what runs of a job that ended under a leader before may still take up: its final record names no runs,
+// and this leader sees them stop only once their workers answer.
+func (scheduler *Scheduler) holdEnded(record Record) {
+	account := scheduler.account(record.Organisation)
+	until := leaseEnd(record.Ended.Add(silentRenewalPeriod), scheduler.options.MaxLease)
+	if account == nil || record.Held == (descriptor.Resources{}) || !scheduler.options.Takeover.Before(until) {
+		return
+	}
+	account.Charge(record.Held)
+	scheduler.holds = append(scheduler.holds, hold{
+		account: account,
+		amount:  record.Held,
+		until:   until,
+	})
+}
+
+// releaseHolds credits what runs of ended jobs took up whose leases have lapsed by now.
+func (scheduler *Scheduler) releaseHolds(now time.Time) {
+	scheduler.holds = slices.DeleteFunc(scheduler.holds, func(hold hold) bool {
+		if now.Before(hold.until) {
+			return false
+		}
+		hold.account.Credit(hold.amount)
+		scheduler.changed = true
+		return true
+	})
+}
--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -10,15 +10,18 @@
 
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/isolator"
+	"pomelomoor/internal/work/descriptor"
 )
 
 // Record is the stored state of a job.
 type Record struct {
 	State describer.JobState
-	// Queue, Organisation and Ended are set in a final state only.
-	Queue        string    `json:",omitempty"`
-	Organisation string    `json:",omitempty"`
-	Ended        time.Time `json:",omitzero"`
+	// Queue, Organisation, Ended and Held are set in a final state only. Held is what runs of the job took up when it ended
+	// and was not known to have stopped.
+	Queue        string               `json:",omitempty"`
+	Organisation string               `json:",omitempty"`
+	Ended        time.Time            `json:",omitzero"`
+	Held         descriptor.Resources `json:",omitzero"`
 	// Policy is the policy that was last known, if that is not the one in the job's description.
 	Policy *describer.Policy `json:",omitempty"`
 	// Next is the first occurrence that was not due yet; Completed counts the finished occurrences.
@@ -94,6 +97,7 @@
 		record.Queue = job.Queue
 		record.Organisation = job.Organisation
 		record.Ended = job.endedAt
+		record.Held = job.held
 		return record
 	}
 	record.Policy = job.recordedPolicy()
@@ -271,6 +275,7 @@
 	}
 	scheduler.jobs[id] = job
 	scheduler.ended = append(scheduler.ended, job)
+	scheduler.holdEnded(record)
 }
 
 func (scheduler *Scheduler) restoreOccurrence(now time.Time, job *job, stored OccurrenceRecord) {
@@ -310,6 +315,9 @@
 	if err := json.Unmarshal(stored, &record); err != nil {
 		return Record{}, errors.Wrap(err, "decode record")
 	}
+	if record.Held.Negative() || !record.Held.Fits(maxHeld) {
+		return Record{}, errors.New("record holds an impossible amount of resources")
+	}
 	if record.State <= describer.JobUnknown || record.State > describer.JobCancelled {
 		return Record{}, errors.Errorf("record has the unknown state %d", record.State)
 	}
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 	highestLatency time.Duration
 	// accounts holds what each organisation has running, by name.
 	accounts map[string]*accountant.Account
+	// holds are what runs of ended jobs may still take up since a leader before has not seen them stop.
+	holds []hold
 	// capBlocked holds the organisations whose cap keeps a gang waiting in this pass, so that their later steps wait too.
 	capBlocked map[*accountant.Account]bool
 	// unansweredCalls holds the times of the most recent calls to workers that got no answer.
@@ -158,6 +160,8 @@
 	// finalGeneration is the generation in which the job reached its final state.
 	finalGeneration int64
 	endedAt         time.Time
+	// held is what runs of the job took up when it ended, if it belongs to an organisation.
+	held descriptor.Resources
 }
 
 // occurrence is one execution of all steps of a job.
@@ -421,6 +425,7 @@
 func (scheduler *Scheduler) finish(now time.Time, job *job, state describer.JobState, reason string) {
 	job.state = state
 	job.endedAt = now
+	job.held = job.heldByRuns()
 	scheduler.markDirty(job)
 	job.finalGeneration = job.generation
 	scheduler.ended = append(scheduler.ended, job)
@@ -487,6 +492,7 @@
 	scheduler.effects.RaiseFence = len(scheduler.awaitingFence) > 0
 	// Tickets and the quarantine of workers expire with time, so waiting steps need another pass.
 	scheduler.changed = scheduler.changed || len(scheduler.waiting) > 0
+	scheduler.releaseHolds(now)
 	scheduler.forgetLost(now)
 	scheduler.removeExpired(now)
 }
