limiter: room of a call that gave way at its start; headers of many short lines

Cause: a connection that gave way between the end of its header and the start of its call was marked as in a handler, which never ran; its close then kept what the header had reserved, for good. And only headers beyond 4 KB drew on the budget: one of 600 lines of 5 bytes takes 60 KB when decoded (108 bytes a line allocated, measured), beside the body and buffers of a connection, and held nothing; nor did the header of a pipelined call.

Change: begin refuses a connection that gave way before it marks anything. The size of a decoded header is known when its call begins, so the server reserves it there, beyond 64 lines and 4 KB.

Conclusion: the budget holds what headers of any form take, and returns to zero.

--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -84,6 +84,9 @@
 	if port.limiter.isLast(conn.account, time.Now) {
 		writer.Header().Set("Connection", "close")
 	}
+	if !conn.reserveHeader(request) {
+		panic(http.ErrAbortHandler)
+	}
 	next.ServeHTTP(writer, request)
 }
 
@@ -194,6 +197,20 @@
 	return err
 }
 
+// reserveHeader reserves the memory of a decoded header. Short lines take much more than they have bytes, and the header
+// of a pipelined call may have been read together with the call before.
+func (conn *conn) reserveHeader(request *http.Request) bool {
+	size, lines := 0, 0
+	for name, values := range request.Header {
+		lines += len(values)
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	reserve := conn.limiter.decoded(conn.account, int64(size), int64(lines))
+	return reserve == 0 || conn.await(request.Context(), reserve, ReasonHeader) == nil
+}
+
 // reserve takes bytes from the budget without waiting. Stalled connections are closed for it.
 func (conn *conn) reserve(bytes int64) bool {
 	granted, victims := conn.limiter.reserve(conn.account, bytes, time.Now())
--- a/internal/node/limiter/conn_test.go
+++ b/internal/node/limiter/conn_test.go
@@ -111,6 +111,68 @@
 	}
 }
 
+// TestShortHeaderLines guards against headers that take much memory although they have few bytes, and against ordinary
+// headers that draw on the budget.
+func TestShortHeaderLines(t *testing.T) {
+	const lineCount = 600
+	var lines strings.Builder
+	for index := range lineCount {
+		fmt.Fprintf(&lines, "%x:\r\n", index)
+	}
+	head := "POST / HTTP/1.1\r\nHost: server\r\nContent-Length: 10\r\n"
+	calls := []struct {
+		name     string
+		sent     string
+		minBytes int64
+		maxBytes int64
+	}{
+		{
+			name:     "ordinary",
+			sent:     head + strings.Repeat("Name: value\r\n", 30) + "\r\n" + strings.Repeat("\n", 9),
+			maxBytes: 0,
+		},
+		{
+			name:     "first call",
+			sent:     head + lines.String() + "\r\n",
+			minBytes: lineCount * headerLineBytes,
+			maxBytes: 2 * lineCount * headerLineBytes,
+		},
+		{
+			name:     "pipelined call",
+			sent:     "GET / HTTP/1.1\r\nHost: server\r\n\r\n" + head + lines.String() + "\r\n",
+			minBytes: lineCount * headerLineBytes,
+			maxBytes: 2 * lineCount * headerLineBytes,
+		},
+	}
+	for _, call := range calls {
+		t.Run(call.name, func(t *testing.T) {
+			if len(call.sent) > freeHeaderBytes {
+				t.Fatalf("%d bytes", len(call.sent))
+			}
+			limiter := New(1 << 20)
+			reading := make(chan struct{}, 1)
+			conn := startServer(t, limiter.NewPort("Front", 1), func(_ http.ResponseWriter, request *http.Request) {
+				if request.Method == http.MethodPost {
+					reading <- struct{}{}
+					// The test closes the connection.
+					_, _ = ReadBody(request, 1<<18)
+				}
+			})()
+			if _, err := io.WriteString(conn, call.sent); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-reading:
+			case <-time.After(testTimeout):
+				t.Fatal("the call has not begun")
+			}
+			if used := limiter.Usage().Bytes; used < call.minBytes || used > call.maxBytes {
+				t.Errorf("%d bytes in use, want %d to %d", used, call.minBytes, call.maxBytes)
+			}
+		})
+	}
+}
+
 // TestConnectionsAreBounded guards against more connections than the port may have, and against a call that is not
 // answered since others hold all of them.
 func TestConnectionsAreBounded(t *testing.T) {
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -16,6 +16,8 @@
 	ConnectionBytes = 64 << 10
 	// freeHeaderBytes is the part of a header that ConnectionBytes covers.
 	freeHeaderBytes = 4 << 10
+	// freeHeaderLines is the number of header lines that ConnectionBytes covers.
+	freeHeaderLines = 64
 	// headerLineBytes is the memory of one decoded header line beside its text.
 	headerLineBytes = 128
 	// minStall is how long a call may be incomplete, or an answer blocked, before its connection can be closed for others.
@@ -370,10 +372,13 @@
 	return nil
 }
 
-// begin notes that the header of a call is complete. Without a body, so is the call.
+// begin notes that the header of a call is complete. Without a body, so is the call. After an error, end is not called.
 func (limiter *Limiter) begin(account *account, hasBody bool, now func() time.Time) error {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
+	if account.evicted {
+		return errEvicted
+	}
 	account.inBody = true
 	account.inHandler = true
 	if account.phase == phaseIdle {
@@ -388,6 +393,18 @@
 	return account.serve()
 }
 
+// decoded notes the size of a decoded header. It returns the memory that has to be reserved for it beside what its call
+// holds already.
+func (limiter *Limiter) decoded(account *account, bytes, lines int64) (reserve int64) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	cost := 2*bytes + headerLineBytes*lines
+	if cost <= 2*freeHeaderBytes+headerLineBytes*freeHeaderLines {
+		return 0
+	}
+	return max(cost-account.heldBytes, 0)
+}
+
 // complete notes that the body of a call is complete.
 func (limiter *Limiter) complete(account *account) error {
 	limiter.mutex.Lock()
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -246,6 +246,31 @@
 	}
 }
 
+// TestClosedCallKeepsNoRoom guards against room that is never free again: a connection gives way between the end of its
+// header and the beginning of its call.
+func TestClosedCallKeepsNoRoom(t *testing.T) {
+	for _, hasBody := range []bool{false, true} {
+		t.Run(fmt.Sprintf("body=%v", hasBody), func(t *testing.T) {
+			clock := newTestClock()
+			limiter := newLimiter(1000)
+			port := limiter.NewPort("Front", 10)
+			holder, other := open(t, port, clock), open(t, port, clock)
+			limiter.reserve(holder, 600, clock.now)
+			clock.advance(2 * minStall)
+			if _, victims := limiter.reserve(other, 600, clock.now); len(victims) != 1 {
+				t.Fatalf("%d connections gave way", len(victims))
+			}
+			if err := limiter.begin(holder, hasBody, clock.read); err == nil {
+				t.Error("a call began on a connection that gave way")
+			}
+			limiter.leave(holder)
+			if usage := limiter.Usage(); usage.Bytes != 0 {
+				t.Errorf("%d bytes in use, want 0", usage.Bytes)
+			}
+		})
+	}
+}
+
 // TestRate guards against a caller on a slow link whose body counts as stalled, and against one that sends too slowly to
 // come to an end and does not.
 func TestRate(t *testing.T) {
