limiter: as many large receive buffers as the budget has room for

Cause: a connection whose body was admitted kept its receive buffer of 64 KB (the kernel allots twice that), and nothing bounded the sum. 1,600 connections that each send a good call, a complete body of 256 KB and 20,000 short calls behind it left 76 MB unread at an instance of 184 MB and 4,100 descriptors.

Change: a connection gets the larger buffer only while the connections that have one take less than the budget; the place is free when the connection is closed. Further bodies arrive through the first buffer, which is slower over long links and complete all the same.

Conclusion: unread bytes stay bounded. TestLargeBuffers holds the rule.

--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -17,6 +17,9 @@
 	// bodyBufferBytes is the receive buffer while a longer body is read. A link of 10 Mbit/s with a round trip of 50 ms
 	// needs as much.
 	bodyBufferBytes = 64 << 10
+	// grownBytes is the part of the maximum of the budget for each connection with such a buffer. The kernel allots twice
+	// the size that it is asked for.
+	grownBytes = 2 * bodyBufferBytes
 	// writeTimeout limits how long a write may be blocked by a client that does not read.
 	writeTimeout = 10 * time.Second
 )
@@ -274,8 +277,12 @@
 	_ = conn.Close()
 }
 
-// growReceiveBuffer makes room for a body that is longer than the first receive buffer.
+// growReceiveBuffer makes room for a body that is longer than the first receive buffer. While many connections have that
+// room, further bodies arrive through the first one.
 func (conn *conn) growReceiveBuffer() {
+	if !conn.limiter.grow(conn.account) {
+		return
+	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -90,7 +90,9 @@
 	uncollectedBytes int64
 	collecting       bool
 	waiting          int
-	ports            []*Port
+	// grown counts the connections with a large receive buffer.
+	grown int
+	ports []*Port
 }
 
 // New returns a limiter whose clients use at most maxBytes beside ConnectionBytes for each connection.
@@ -156,6 +158,8 @@
 	headerBytes int64
 	headerLines int64
 	inBody      bool
+	// isGrown means that the connection has a large receive buffer.
+	isGrown bool
 	// inHandler means that a handler runs, which may use what the call holds even after its connection is closed.
 	inHandler bool
 	// heldBytes is the part of the budget that the call holds.
@@ -393,6 +397,18 @@
 	return account.serve()
 }
 
+// grow reports whether the connection may have a large receive buffer, which it keeps until it is closed.
+func (limiter *Limiter) grow(account *account) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if account.isGrown || account.closed || int64(limiter.grown) >= limiter.maxBytes/grownBytes {
+		return account.isGrown
+	}
+	account.isGrown = true
+	limiter.grown++
+	return true
+}
+
 // decoded notes the size of a decoded header. It returns the memory that has to be reserved for it beside what its call
 // holds already.
 func (limiter *Limiter) decoded(account *account, bytes, lines int64) (reserve int64) {
@@ -454,6 +470,9 @@
 	}
 	account.closed = true
 	delete(account.port.accounts, account)
+	if account.isGrown {
+		limiter.grown--
+	}
 	if !account.inHandler {
 		limiter.release(account)
 	}
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -194,6 +194,25 @@
 	}
 }
 
+// TestLargeBuffers guards against unread bytes in the receive buffers that connections keep after a large body.
+func TestLargeBuffers(t *testing.T) {
+	clock := newTestClock()
+	limiter := New(2 * grownBytes)
+	port := limiter.NewPort("Front", 4)
+	first, second, third := open(t, port, clock), open(t, port, clock), open(t, port, clock)
+	if !limiter.grow(first) || !limiter.grow(second) || !limiter.grow(second) {
+		t.Error("no large buffer although there is room")
+	}
+	if limiter.grow(third) {
+		t.Error("a large buffer beyond the limit")
+	}
+	limiter.leave(first)
+	limiter.leave(first)
+	if !limiter.grow(third) || limiter.grow(open(t, port, clock)) {
+		t.Error("want one more large buffer after a connection was closed")
+	}
+}
+
 // TestBudget guards against bodies whose sum exceeds the budget, and against a call that gets no room although stalled
 // bodies hold it.
 func TestBudget(t *testing.T) {
