limiter: long bodies of an entry get the larger receive buffer too

Cause: the listener of `pomelomoor entry` has the small receive buffers of limiter.Listen, but its handler reserves bodies in its own budgets through ReadReserved, which never made the buffer larger. Its bodies of up to 1 MB then arrive 16 KB at a time: 3.2 s at a round trip of 50 ms by that window, where 64 KB take 0.8 s.

Change: the buffer grows in ReadReserved, once the second buffer of a body is reserved, whoever reserves it.

Figures: TestReceiveBufferGrows failed for the other budget before, and passes; the tests of handler and platform pass.

Conclusion: one implementation serves both servers.

--- a/internal/node/limiter/body.go
+++ b/internal/node/limiter/body.go
@@ -41,21 +41,14 @@
 			return nil
 		})
 	}
-	first, grown := true, false
+	first := true
 	body, err := ReadReserved(request, maxBytes, func(bytes int64) error {
 		if first {
 			// ConnectionBytes covers the first buffer.
 			first = false
 			return nil
 		}
-		if err := conn.await(request.Context(), bytes, ReasonBody); err != nil {
-			return err
-		}
-		if !grown {
-			grown = true
-			conn.growReceiveBuffer()
-		}
-		return nil
+		return conn.await(request.Context(), bytes, ReasonBody)
 	})
 	if err != nil {
 		return nil, err
@@ -77,6 +70,13 @@
 	return conn.limiter.complete(conn.account)
 }
 
+// growReceiveBuffer makes room for the rest of a body that is longer than its first buffer.
+func growReceiveBuffer(request *http.Request) {
+	if conn, limited := request.Context().Value(connKey{}).(*conn); limited {
+		conn.growReceiveBuffer()
+	}
+}
+
 // DecodedBytes returns a bound on the memory of a decoded JSON document.
 func DecodedBytes(document []byte) int64 {
 	return int64(decodedCopies*len(document) +
@@ -84,8 +84,8 @@
 		decodedElementBytes*(bytes.Count(document, []byte{','})+bytes.Count(document, []byte{'['})))
 }
 
-// ReadReserved returns the body of a request, at most maxBytes, without a reservation in a port. It calls reserve with the number of bytes by which its
-// buffer grows, before it does.
+// ReadReserved returns the body of a request, at most maxBytes, without a reservation in a port. It calls reserve with the
+// number of bytes by which its buffer grows, before it does.
 func ReadReserved(request *http.Request, maxBytes int64, reserve func(bytes int64) error) ([]byte, error) {
 	length := request.ContentLength
 	if length > maxBytes {
@@ -116,6 +116,9 @@
 			if err := reserve(size - int64(cap(body))); err != nil {
 				return nil, err
 			}
+			if cap(body) == FirstBufferBytes {
+				growReceiveBuffer(request)
+			}
 			body = append(make([]byte, 0, size), body...)
 			if first != nil {
 				firstBuffers.Put(first)
--- a/internal/node/limiter/conn_test.go
+++ b/internal/node/limiter/conn_test.go
@@ -111,6 +111,39 @@
 	}
 }
 
+// TestReceiveBufferGrows guards against long bodies that are slow over long links, whoever reserves their memory.
+func TestReceiveBufferGrows(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"budget of the port": answerBody,
+		"other budget": func(writer http.ResponseWriter, request *http.Request) {
+			if _, err := ReadReserved(request, 1<<18, func(int64) error {
+				return nil
+			}); err != nil {
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}
+		},
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			for _, bodyBytes := range []int{FirstBufferBytes / 2, 2 * FirstBufferBytes} {
+				limiter := New(1 << 20)
+				conn := startServer(t, limiter.NewPort("Front", 1), handler)()
+				if _, err := conn.Write(post(bodyBytes, bodyBytes)); err != nil {
+					t.Fatal(err)
+				}
+				if status, err := receive(conn); status != http.StatusOK || err != nil {
+					t.Errorf("status %d, %v", status, err)
+				}
+				limiter.mutex.Lock()
+				if isGrown := limiter.grown == 1; isGrown != (bodyBytes > FirstBufferBytes) {
+					t.Errorf("body of %d bytes: large buffer is %v", bodyBytes, isGrown)
+				}
+				limiter.mutex.Unlock()
+			}
+		})
+	}
+}
+
 // TestShortHeaderLines guards against headers that take much memory although they have few bytes, and against ordinary
 // headers that draw on the budget.
 func TestShortHeaderLines(t *testing.T) {
