limiter: connections do not end once nobody waits any more

Cause: the mark that a new connection waits for a place was cleared by the next admission only. After a new connection had waited in vain, every connection that was older than 1 s ended with its next answer, until somebody connected; the port of the other instances never waits, and set the mark as well.

Change: giving up clears the mark.

Figures: without the change TestBusyConnectionsEnd has nothing to call; with it the package passes with -race.

Conclusion: in calm, connections are kept.

--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -153,9 +153,13 @@
 		if victim != nil {
 			victim.close()
 		}
-		if admitted != nil || !listener.isHTTP || now.Sub(start) > maxAdmission {
+		if admitted != nil {
 			return admitted
 		}
+		if !listener.isHTTP || now.Sub(start) > maxAdmission {
+			listener.port.giveUp()
+			return nil
+		}
 	}
 }
 
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -238,6 +238,13 @@
 	return admitted, victim
 }
 
+// giveUp notes that a new connection does not wait for a place any more.
+func (port *Port) giveUp() {
+	port.limiter.mutex.Lock()
+	defer port.limiter.mutex.Unlock()
+	port.crowded = false
+}
+
 // victim returns the connection that gives way to a new one, or nil: the one of the highest rank that has been without
 // progress for longest.
 func (port *Port) victim(now time.Time) *account {
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -188,6 +188,10 @@
 	if !limiter.isLast(busy, clock.read) {
 		t.Error("a busy connection goes on although another waits")
 	}
+	port.giveUp()
+	if limiter.isLast(busy, clock.read) {
+		t.Error("a connection ends although nobody waits any more")
+	}
 	limiter.leave(busy)
 	if next := open(t, port, clock); limiter.isLast(next, clock.read) {
 		t.Error("a new connection ends with its first call")
@@ -197,7 +201,7 @@
 // TestLargeBuffers guards against unread bytes in the receive buffers that connections keep after a large body.
 func TestLargeBuffers(t *testing.T) {
 	clock := newTestClock()
-	limiter := New(2 * grownBytes)
+	limiter := newLimiter(2 * grownBytes)
 	port := limiter.NewPort("Front", 4)
 	first, second, third := open(t, port, clock), open(t, port, clock), open(t, port, clock)
 	if !limiter.grow(first) || !limiter.grow(second) || !limiter.grow(second) {
