--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -17,6 +17,9 @@
 	// bodyBufferBytes is the receive buffer while a longer body is read. A link of 10 Mbit/s with a round trip of 50 ms
 	// needs as much.
 	bodyBufferBytes = 64 << 10
+	// grownBytes is the part of the maximum of the budget for each connection with such a buffer. The kernel allots twice
+	// the size that it is asked for.
+	grownBytes = 2 * bodyBufferBytes
 	// writeTimeout limits how long a write may be blocked by a client that does not read.
 	writeTimeout = 10 * time.Second
 )
@@ -84,6 +87,9 @@
 	if port.limiter.isLast(conn.account, time.Now) {
 		writer.Header().Set("Connection", "close")
 	}
+	if !conn.reserveHeader(request) {
+		panic(http.ErrAbortHandler)
+	}
 	next.ServeHTTP(writer, request)
 }
 
@@ -147,9 +153,13 @@
 		if victim != nil {
 			victim.close()
 		}
-		if admitted != nil || !listener.isHTTP || now.Sub(start) > maxAdmission {
+		if admitted != nil {
 			return admitted
 		}
+		if !listener.isHTTP || now.Sub(start) > maxAdmission {
+			listener.port.giveUp()
+			return nil
+		}
 	}
 }
 
@@ -194,6 +204,20 @@
 	return err
 }
 
+// reserveHeader reserves the memory of a decoded header. Short lines take much more than they have bytes, and the header
+// of a pipelined call may have been read together with the call before.
+func (conn *conn) reserveHeader(request *http.Request) bool {
+	size, lines := 0, 0
+	for name, values := range request.Header {
+		lines += len(values)
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	reserve := conn.limiter.decoded(conn.account, int64(size), int64(lines))
+	return reserve == 0 || conn.await(request.Context(), reserve, ReasonHeader) == nil
+}
+
 // reserve takes bytes from the budget without waiting. Stalled connections are closed for it.
 func (conn *conn) reserve(bytes int64) bool {
 	granted, victims := conn.limiter.reserve(conn.account, bytes, time.Now())
@@ -257,8 +281,12 @@
 	_ = conn.Close()
 }
 
-// growReceiveBuffer makes room for a body that is longer than the first receive buffer.
+// growReceiveBuffer makes room for a body that is longer than the first receive buffer. While many connections have that
+// room, further bodies arrive through the first one.
 func (conn *conn) growReceiveBuffer() {
+	if !conn.limiter.grow(conn.account) {
+		return
+	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
--- a/internal/node/limiter/conn_test.go
+++ b/internal/node/limiter/conn_test.go
@@ -111,6 +111,101 @@
 	}
 }
 
+// TestReceiveBufferGrows guards against long bodies that are slow over long links, whoever reserves their memory.
+func TestReceiveBufferGrows(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"budget of the port": answerBody,
+		"other budget": func(writer http.ResponseWriter, request *http.Request) {
+			if _, err := ReadReserved(request, 1<<18, func(int64) error {
+				return nil
+			}); err != nil {
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}
+		},
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			for _, bodyBytes := range []int{FirstBufferBytes / 2, 2 * FirstBufferBytes} {
+				limiter := New(1 << 20)
+				conn := startServer(t, limiter.NewPort("Front", 1), handler)()
+				if _, err := conn.Write(post(bodyBytes, bodyBytes)); err != nil {
+					t.Fatal(err)
+				}
+				if status, err := receive(conn); status != http.StatusOK || err != nil {
+					t.Errorf("status %d, %v", status, err)
+				}
+				limiter.mutex.Lock()
+				if isGrown := limiter.grown == 1; isGrown != (bodyBytes > FirstBufferBytes) {
+					t.Errorf("body of %d bytes: large buffer is %v", bodyBytes, isGrown)
+				}
+				limiter.mutex.Unlock()
+			}
+		})
+	}
+}
+
+// TestShortHeaderLines guards against headers that take much memory although they have few bytes, and against ordinary
+// headers that draw on the budget.
+func TestShortHeaderLines(t *testing.T) {
+	const lineCount = 600
+	var lines strings.Builder
+	for index := range lineCount {
+		fmt.Fprintf(&lines, "%x:\r\n", index)
+	}
+	head := "POST / HTTP/1.1\r\nHost: server\r\nContent-Length: 10\r\n"
+	calls := []struct {
+		name     string
+		sent     string
+		minBytes int64
+		maxBytes int64
+	}{
+		{
+			name:     "ordinary",
+			sent:     head + strings.Repeat("Name: value\r\n", 30) + "\r\n" + strings.Repeat("\n", 9),
+			maxBytes: 0,
+		},
+		{
+			name:     "first call",
+			sent:     head + lines.String() + "\r\n",
+			minBytes: lineCount * headerLineBytes,
+			maxBytes: 2 * lineCount * headerLineBytes,
+		},
+		{
+			name:     "pipelined call",
+			sent:     "GET / HTTP/1.1\r\nHost: server\r\n\r\n" + head + lines.String() + "\r\n",
+			minBytes: lineCount * headerLineBytes,
+			maxBytes: 2 * lineCount * headerLineBytes,
+		},
+	}
+	for _, call := range calls {
+		t.Run(call.name, func(t *testing.T) {
+			if len(call.sent) > freeHeaderBytes {
+				t.Fatalf("%d bytes", len(call.sent))
+			}
+			limiter := New(1 << 20)
+			reading := make(chan struct{}, 1)
+			conn := startServer(t, limiter.NewPort("Front", 1), func(_ http.ResponseWriter, request *http.Request) {
+				if request.Method == http.MethodPost {
+					reading <- struct{}{}
+					// The test closes the connection.
+					_, _ = ReadBody(request, 1<<18)
+				}
+			})()
+			if _, err := io.WriteString(conn, call.sent); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-reading:
+			case <-time.After(testTimeout):
+				t.Fatal("the call has not begun")
+			}
+			if used := limiter.Usage().Bytes; used < call.minBytes || used > call.maxBytes {
+				t.Errorf("%d bytes in use, want %d to %d", used, call.minBytes, call.maxBytes)
+			}
+		})
+	}
+}
+
 // TestConnectionsAreBounded guards against more connections than the port may have, and against a call that is not
 // answered since others hold all of them.
 func TestConnectionsAreBounded(t *testing.T) {
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -16,6 +16,8 @@
 	ConnectionBytes = 64 << 10
 	// freeHeaderBytes is the part of a header that ConnectionBytes covers.
 	freeHeaderBytes = 4 << 10
+	// freeHeaderLines is the number of header lines that ConnectionBytes covers.
+	freeHeaderLines = 64
 	// headerLineBytes is the memory of one decoded header line beside its text.
 	headerLineBytes = 128
 	// minStall is how long a call may be incomplete, or an answer blocked, before its connection can be closed for others.
@@ -88,7 +90,9 @@
 	uncollectedBytes int64
 	collecting       bool
 	waiting          int
-	ports            []*Port
+	// grown counts the connections with a large receive buffer.
+	grown int
+	ports []*Port
 }
 
 // New returns a limiter whose clients use at most maxBytes beside ConnectionBytes for each connection.
@@ -154,6 +158,8 @@
 	headerBytes int64
 	headerLines int64
 	inBody      bool
+	// isGrown means that the connection has a large receive buffer.
+	isGrown bool
 	// inHandler means that a handler runs, which may use what the call holds even after its connection is closed.
 	inHandler bool
 	// heldBytes is the part of the budget that the call holds.
@@ -232,6 +238,13 @@
 	return admitted, victim
 }
 
+// giveUp notes that a new connection does not wait for a place any more.
+func (port *Port) giveUp() {
+	port.limiter.mutex.Lock()
+	defer port.limiter.mutex.Unlock()
+	port.crowded = false
+}
+
 // victim returns the connection that gives way to a new one, or nil: the one of the highest rank that has been without
 // progress for longest.
 func (port *Port) victim(now time.Time) *account {
@@ -370,10 +383,13 @@
 	return nil
 }
 
-// begin notes that the header of a call is complete. Without a body, so is the call.
+// begin notes that the header of a call is complete. Without a body, so is the call. After an error, end is not called.
 func (limiter *Limiter) begin(account *account, hasBody bool, now func() time.Time) error {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
+	if account.evicted {
+		return errEvicted
+	}
 	account.inBody = true
 	account.inHandler = true
 	if account.phase == phaseIdle {
@@ -388,6 +404,30 @@
 	return account.serve()
 }
 
+// grow reports whether the connection may have a large receive buffer, which it keeps until it is closed.
+func (limiter *Limiter) grow(account *account) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if account.isGrown || account.closed || int64(limiter.grown) >= limiter.maxBytes/grownBytes {
+		return account.isGrown
+	}
+	account.isGrown = true
+	limiter.grown++
+	return true
+}
+
+// decoded notes the size of a decoded header. It returns the memory that has to be reserved for it beside what its call
+// holds already.
+func (limiter *Limiter) decoded(account *account, bytes, lines int64) (reserve int64) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	cost := 2*bytes + headerLineBytes*lines
+	if cost <= 2*freeHeaderBytes+headerLineBytes*freeHeaderLines {
+		return 0
+	}
+	return max(cost-account.heldBytes, 0)
+}
+
 // complete notes that the body of a call is complete.
 func (limiter *Limiter) complete(account *account) error {
 	limiter.mutex.Lock()
@@ -437,6 +477,9 @@
 	}
 	account.closed = true
 	delete(account.port.accounts, account)
+	if account.isGrown {
+		limiter.grown--
+	}
 	if !account.inHandler {
 		limiter.release(account)
 	}
--- a/internal/node/limiter/limiter_test.go
+++ b/internal/node/limiter/limiter_test.go
@@ -188,12 +188,35 @@
 	if !limiter.isLast(busy, clock.read) {
 		t.Error("a busy connection goes on although another waits")
 	}
+	port.giveUp()
+	if limiter.isLast(busy, clock.read) {
+		t.Error("a connection ends although nobody waits any more")
+	}
 	limiter.leave(busy)
 	if next := open(t, port, clock); limiter.isLast(next, clock.read) {
 		t.Error("a new connection ends with its first call")
 	}
 }
 
+// TestLargeBuffers guards against unread bytes in the receive buffers that connections keep after a large body.
+func TestLargeBuffers(t *testing.T) {
+	clock := newTestClock()
+	limiter := newLimiter(2 * grownBytes)
+	port := limiter.NewPort("Front", 4)
+	first, second, third := open(t, port, clock), open(t, port, clock), open(t, port, clock)
+	if !limiter.grow(first) || !limiter.grow(second) || !limiter.grow(second) {
+		t.Error("no large buffer although there is room")
+	}
+	if limiter.grow(third) {
+		t.Error("a large buffer beyond the limit")
+	}
+	limiter.leave(first)
+	limiter.leave(first)
+	if !limiter.grow(third) || limiter.grow(open(t, port, clock)) {
+		t.Error("want one more large buffer after a connection was closed")
+	}
+}
+
 // TestBudget guards against bodies whose sum exceeds the budget, and against a call that gets no room although stalled
 // bodies hold it.
 func TestBudget(t *testing.T) {
@@ -246,6 +269,31 @@
 	}
 }
 
+// TestClosedCallKeepsNoRoom guards against room that is never free again: a connection gives way between the end of its
+// header and the beginning of its call.
+func TestClosedCallKeepsNoRoom(t *testing.T) {
+	for _, hasBody := range []bool{false, true} {
+		t.Run(fmt.Sprintf("body=%v", hasBody), func(t *testing.T) {
+			clock := newTestClock()
+			limiter := newLimiter(1000)
+			port := limiter.NewPort("Front", 10)
+			holder, other := open(t, port, clock), open(t, port, clock)
+			limiter.reserve(holder, 600, clock.now)
+			clock.advance(2 * minStall)
+			if _, victims := limiter.reserve(other, 600, clock.now); len(victims) != 1 {
+				t.Fatalf("%d connections gave way", len(victims))
+			}
+			if err := limiter.begin(holder, hasBody, clock.read); err == nil {
+				t.Error("a call began on a connection that gave way")
+			}
+			limiter.leave(holder)
+			if usage := limiter.Usage(); usage.Bytes != 0 {
+				t.Errorf("%d bytes in use, want 0", usage.Bytes)
+			}
+		})
+	}
+}
+
 // TestRate guards against a caller on a slow link whose body counts as stalled, and against one that sends too slowly to
 // come to an end and does not.
 func TestRate(t *testing.T) {
