limiter: bounded buffers of connections between instances

Cause: clients that connect to the port of the instances again and again and send text left up to 91 MB in the receive buffers of connections that were not accepted yet (TestReconnects/peers-text, 130 to 141 MB of the 128 MB allowed). Change: that listener has small buffers as well; an accepted connection gets 64 KB, as a body does. A buffer of 64 KB at the listener left 130 and 135 MB.

--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -247,8 +246,7 @@
 	tree.Add("Config", instance.refresher.Run)
 	tree.Add("ConfigCheck", instance.alerter.Run)
 	tree.Add("Peers", func(ctx context.Context) error {
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", instance.settings.Peer.String())
+		listener, err := limiter.Listen(ctx, instance.settings.Peer.String())
 		if err != nil {
 			return errors.Wrap(err, "listen for calls of other instances")
 		}
--- a/internal/node/limiter/conn.go
+++ b/internal/node/limiter/conn.go
@@ -137,6 +137,11 @@
 			isHTTP:  listener.isHTTP,
 		}
 		if accepted.account = listener.awaitPlace(accepted.abort); accepted.account != nil {
+			if !listener.isHTTP {
+				// Batches between instances go over links between regions. Before a connection is accepted, what
+				// arrives on it is bounded by the buffer of the listener.
+				accepted.setReceiveBuffer()
+			}
 			return accepted, nil
 		}
 		listener.port.limiter.refuse(listener.port, ReasonConnections)
@@ -284,9 +289,13 @@
 // growReceiveBuffer makes room for a body that is longer than the first receive buffer. While many connections have that
 // room, further bodies arrive through the first one.
 func (conn *conn) growReceiveBuffer() {
-	if !conn.limiter.grow(conn.account) {
-		return
+	if conn.limiter.grow(conn.account) {
+		conn.setReceiveBuffer()
 	}
+}
+
+// setReceiveBuffer gives the connection the receive buffer for long messages.
+func (conn *conn) setReceiveBuffer() {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
