scheduler: shorter choice of the steps that yield; lasting steps are no excess

Cause: the choice sorted by two levels of indices; a lasting task of an organisation beyond its entitlement came after other work, although each moment without it is lost. Change: as the subject says. Figures: scripts and TestLoads pass, lasting-closes-workers stays red as before.

--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -143,7 +143,7 @@
 			Workers:          batch,
 			Lateness:         queued.lateness,
 			Yields:           queued.yields,
-			Excess:           step.job.excess,
+			Excess:           queued.rank().Excess,
 			UrgentFrom:       queued.urgentFrom,
 			WorthlessFrom:    queued.worthlessFrom,
 			ExpectedDuration: policy.Base + time.Duration(len(batch))*policy.PerWorker,
--- a/internal/cell/scheduler/order.go
+++ b/internal/cell/scheduler/order.go
@@ -36,11 +36,12 @@
 	yields bool
 }
 
+// rank returns the rank of the step. A lasting one is never excess: each moment without it is lost.
 func (queued *queuedStep) rank() prioritizer.Rank {
 	return prioritizer.Rank{
 		Lateness:   queued.lateness,
 		Yields:     queued.yields,
-		Excess:     queued.step.job.excess,
+		Excess:     queued.step.job.excess && !queued.step.Perpetual,
 		UrgentFrom: queued.urgentFrom,
 	}
 }
--- a/internal/cell/scheduler/yielding.go
+++ b/internal/cell/scheduler/yielding.go
@@ -55,60 +55,55 @@
 	return over
 }
 
-// chooseYielding marks the steps that yield, if there is too little room to end all those in time that still can. The queue
-// is ordered. It reports whether any step yields. While the running and the waiting work together fit into the cell, none
-// does.
+// chooseYielding marks the steps that yield: those of organisations above their share, and, if there is too little room to
+// end all others in time that still can, those among them whose delay costs least. It reports whether any step yields.
 func (scheduler *Scheduler) chooseYielding(now time.Time, queue []queuedStep) bool {
-	var items []yielder.Work
-	var indices []int
+	var candidates []*queuedStep
 	waiting := 0.0
 	anyYields := false
 	over := scheduler.overShare(queue)
 	for index := range queue {
 		queued := &queue[index]
-		if queued.lateness > 0 || queued.step.Perpetual {
-			continue
-		}
-		if over[queued.step.job.account] {
+		switch {
+		case queued.lateness > 0 || queued.step.Perpetual:
+		case over[queued.step.job.account]:
 			queued.yields = true
 			anyYields = true
-			continue
+		default:
+			waiting += scheduler.amount(queued.step)
+			candidates = append(candidates, queued)
 		}
-		amount := scheduler.amount(queued.step)
-		waiting += amount
+	}
+	if waiting < scheduler.freeShare {
+		// All of it could end within a second.
+		return anyYields
+	}
+	slices.SortStableFunc(candidates, func(left, right *queuedStep) int {
+		return scheduler.due(left).Compare(scheduler.due(right))
+	})
+	items := make([]yielder.Work, 0, len(candidates))
+	for _, queued := range candidates {
 		items = append(items, yielder.Work{
 			Excess:   queued.step.job.excess,
 			Priority: queued.step.job.policy.Priority,
-			Due:      queued.urgentFrom.Add(scheduler.runTime(queued.step)),
-			Amount:   amount,
+			Due:      scheduler.due(queued),
+			Amount:   scheduler.amount(queued.step),
 			Done:     queued.step.occurrence.done(),
 			Arrived:  queued.step.job.Submitted,
 		})
-		indices = append(indices, index)
-	}
-	if len(items) < 2 || waiting < scheduler.freeShare {
-		return anyYields
 	}
-	order := make([]int, len(items))
-	for index := range order {
-		order[index] = index
-	}
-	slices.SortStableFunc(order, func(left, right int) int {
-		return items[left].Due.Compare(items[right].Due)
-	})
-	sorted := make([]yielder.Work, len(items))
-	for position, index := range order {
-		sorted[position] = items[index]
-	}
-	for position, yields := range yielder.Choose(now, scheduler.supply(now), sorted) {
-		if yields {
-			queue[indices[order[position]]].yields = true
-			anyYields = true
-		}
+	for index, yields := range yielder.Choose(now, scheduler.supply(now), items) {
+		candidates[index].yields = yields
+		anyYields = anyYields || yields
 	}
 	return anyYields
 }
 
+// due returns when the tasks of a step have to end for the objective of its occurrence to be met.
+func (scheduler *Scheduler) due(queued *queuedStep) time.Time {
+	return queued.urgentFrom.Add(scheduler.runTime(queued.step))
+}
+
 // amount returns the share of the cell that the waiting tasks of step occupy, times the seconds that they take.
 func (scheduler *Scheduler) amount(step *step) float64 {
 	return step.Occupied().DominantShare(scheduler.total) * float64(step.unplaced) * scheduler.runTime(step).Seconds()
