--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -53,7 +53,7 @@
 		if slots > 0 && step.MaxPerWorker > 0 {
 			slots = min(slots, step.MaxPerWorker-worker.runCount(step))
 		}
-		slots = worker.trialSlots(step, slots)
+		slots = worker.trialSlots(now, step, slots)
 		if slots <= 0 {
 			return
 		}
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -193,11 +193,20 @@
 	failing.workers, failing.tasks = nil, nil
 }
 
+// maxGangTrial is how long a worker on trial takes no gang. Without single tasks that could end its trial, a gang would
+// otherwise wait for it forever.
+const maxGangTrial = 2 * time.Second
+
+// onTrial reports whether the worker is on trial for the tasks of step.
+func (worker *worker) onTrial(now time.Time, step *step) bool {
+	return worker.health.trial && (!step.Gang || now.Sub(worker.health.failedUntil) < maxGangTrial)
+}
+
 // trialSlots returns how many of the given slots of a worker may be used for a step. After a quarantine for failures the
-// worker is tried with one task at a time, and with no gang, which would be lost as a whole.
-func (worker *worker) trialSlots(step *step, slots int) int {
+// worker is tried with one task at a time, and for a while with no gang, which would be lost as a whole.
+func (worker *worker) trialSlots(now time.Time, step *step, slots int) int {
 	health := &worker.health
-	if !health.trial {
+	if !worker.onTrial(now, step) {
 		return slots
 	}
 	if step.Gang {
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -387,7 +387,7 @@
 		if step.MaxPerWorker > 0 && worker.runCount(step)+alreadyAssigned >= step.MaxPerWorker {
 			return
 		}
-		if worker.trialSlots(step, 1) == 0 || worker.health.trial && alreadyAssigned > 0 {
+		if worker.trialSlots(now, step, 1) == 0 || worker.onTrial(now, step) && alreadyAssigned > 0 {
 			return
 		}
 		score := scheduler.score(worker, task, estimated, free)
