Review case 9: a failing job closes the runners of a label

Tried: two jobs that always fail among 42 in 3 s, which all require the kind of two of eight runners.

--- a/review/harness-2/judge.go
+++ b/review/harness-2/judge.go
@@ -24,6 +24,8 @@
 	Ms        int64 `json:"-"`
 	FailMs    int64 `json:"-"`
 	FailGapMs int64 `json:"-"`
+	// Fails means that each run ends as failed after Ms.
+	Fails bool `json:"-"`
 }
 
 // judge records what was sent, answered and run, and the rules that were broken.
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -177,7 +177,11 @@
 				runner.end(run, "failed")
 			}
 		case now.Sub(run.started) >= time.Duration(run.spec.Ms)*time.Millisecond:
-			runner.end(run, "done")
+			if run.spec.Fails {
+				runner.end(run, "failed")
+			} else {
+				runner.end(run, "done")
+			}
 		}
 	}
 }
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -33,6 +33,8 @@
 	maxAttempts int
 	// routes are the queues; the first one is used unless another is named.
 	routes []route
+	// otherKind is the number of runners of kind "b"; the others are of kind "a".
+	otherKind int
 	// memoryMb is the memory of an instance.
 	memoryMb int
 }
@@ -107,7 +109,11 @@
 	site.address = address
 	site.configure()
 	for index := range options.runners {
-		runner := newRunner(fmt.Sprintf("i-%04x", 0x5a10+index), fmt.Sprintf("zone-%d", index%3), fmt.Sprintf("r1-%d", index/8), "a", options.cpu, site.store, judge)
+		kind := "a"
+		if index >= options.runners-options.otherKind {
+			kind = "b"
+		}
+		runner := newRunner(fmt.Sprintf("i-%04x", 0x5a10+index), fmt.Sprintf("zone-%d", index%3), fmt.Sprintf("r1-%d", index/8), kind, options.cpu, site.store, judge)
 		site.runners = append(site.runners, runner)
 		if err := runner.start(); err != nil {
 			return site, err
