--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -116,6 +116,19 @@
 		_ = runner.server.Close()
 	}
 	runner.wake()
+	go runner.expire(runner.born)
+}
+
+// expire removes the entry of an incarnation that has crashed after three intervals of silence.
+func (runner *runner) expire(born time.Time) {
+	time.Sleep(3 * heartbeat)
+	runner.mutex.Lock()
+	gone := !runner.up && runner.born.Equal(born)
+	runner.mutex.Unlock()
+	if gone {
+		runner.judge.note("the entry of runner %s expires", runner.id)
+		runner.store.drop("servers/" + runner.id)
+	}
 }
 
 func (runner *runner) wake() {
