--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -45,10 +45,10 @@
 	task := scheduler.estimatorTask(now, step)
 	consider := func(worker *worker, ticket ticket) {
 		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack ||
-			worker.probation != nil || worker.heldForOther(now, step) {
+			worker.probation != nil {
 			return
 		}
-		free := worker.free()
+		free := worker.freeFor(now, step)
 		slots := step.slots(free)
 		if slots > 0 && step.MaxPerWorker > 0 {
 			slots = min(slots, step.MaxPerWorker-worker.runCount(step))
--- a/internal/cell/scheduler/lasting.go
+++ b/internal/cell/scheduler/lasting.go
@@ -6,6 +6,7 @@
 
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/evictor"
+	"pomelomoor/internal/work/descriptor"
 )
 
 const (
@@ -52,19 +53,21 @@
 }
 
 // evict stops runs of other work for a lasting task that has waited too long: by the rules of the platform's users
-// it must run again soon, however full the workers are. One worker is cleared at a time for each step.
+// it must run again soon, however full the workers are. One worker is cleared at a time for each step, and none for a task
+// for which a place is kept.
 func (scheduler *Scheduler) evict(now time.Time, step *step) {
-	if !step.Perpetual || step.Gang || now.Sub(step.waitsSince()) < evictionDelay || now.Before(step.heldUntil) {
+	if !step.Perpetual || step.Gang || now.Sub(step.waitsSince()) < evictionDelay || now.Before(step.evictableFrom) {
 		return
 	}
 	var task *task
+	waiting := 0
 	for _, candidate := range step.tasks {
 		if candidate.state == taskWaiting && candidate.run > 0 && !now.Before(candidate.retryAt) {
 			task = candidate
-			break
+			waiting++
 		}
 	}
-	if task == nil {
+	if waiting <= scheduler.heldPlaces(now, step) {
 		return
 	}
 	var best []*run
@@ -82,11 +85,11 @@
 		}
 	}
 	if best == nil {
-		step.heldUntil = now.Add(evictionRetryInterval)
+		step.evictableFrom = now.Add(evictionRetryInterval)
 		return
 	}
-	step.heldUntil = now.Add(minEvictionValidity)
-	cleared.heldFor = step
+	step.evictableFrom = now.Add(minEvictionValidity)
+	cleared.hold(now, step, step.evictableFrom)
 	for _, run := range best {
 		scheduler.stop(now, run, "its worker's capacity goes to the lasting task "+task.id().String())
 	}
@@ -107,35 +110,99 @@
 	return candidates
 }
 
+// heldPlace is capacity of a worker that is kept for a task of a lasting step, until one of its tasks is placed there or
+// until a time.
+type heldPlace struct {
+	step  *step
+	until time.Time
+}
+
+// inForce reports whether a task waits for the place.
+func (place heldPlace) inForce(now time.Time) bool {
+	return now.Before(place.until) && place.step.unplaced > 0 && !place.step.job.state.Final()
+}
+
 // holdPlace keeps the capacity of a lasting run that has ended on a sound worker for its next run, which has to wait for
 // its record and for advice.
 func (scheduler *Scheduler) holdPlace(now time.Time, run *run) {
-	worker, step := run.worker, run.task.step
-	if !worker.usable() || now.Before(worker.health.quarantinedUntil) {
+	if !run.worker.usable() || now.Before(run.worker.health.quarantinedUntil) {
 		return
 	}
-	worker.heldFor = step
-	step.heldUntil = now.Add(placeHoldPeriod)
+	run.worker.hold(now, run.task.step, now.Add(placeHoldPeriod))
+}
+
+// hold keeps capacity of the worker for a task of a lasting step. It is the worker's own time that counts, since another
+// task of the step may wait for much longer for a place that does not exist.
+func (worker *worker) hold(now time.Time, step *step, until time.Time) {
+	worker.heldPlaces = slices.DeleteFunc(worker.heldPlaces, func(place heldPlace) bool {
+		return !place.inForce(now)
+	})
+	worker.heldPlaces = append(worker.heldPlaces, heldPlace{
+		step:  step,
+		until: until,
+	})
+	if until.After(step.placesHeldUntil) {
+		step.placesHeldUntil = until
+	}
+}
+
+// takePlace ends the hold of one place for step, which a task of step has taken.
+func (worker *worker) takePlace(step *step) {
+	for index, place := range worker.heldPlaces {
+		if place.step == step {
+			worker.heldPlaces = slices.Delete(worker.heldPlaces, index, index+1)
+			return
+		}
+	}
+}
+
+// placesFor returns the number of places that the worker keeps for step.
+func (worker *worker) placesFor(now time.Time, step *step) int {
+	count := 0
+	for _, place := range worker.heldPlaces {
+		if place.step == step && place.inForce(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// freeFor returns the capacity of the worker that is neither allocated to runs nor kept for a step other than step.
+func (worker *worker) freeFor(now time.Time, step *step) descriptor.Resources {
+	free := worker.free()
+	for _, place := range worker.heldPlaces {
+		if place.step != step && place.inForce(now) {
+			free = free.Sub(place.step.Occupied())
+		}
+	}
+	return free
 }
 
-// heldFirst moves the worker on which capacity is kept for step to the front of workers.
+// heldPlaces returns the number of places that are kept for step on workers that may be given work.
+func (scheduler *Scheduler) heldPlaces(now time.Time, step *step) int {
+	if !now.Before(step.placesHeldUntil) {
+		return 0
+	}
+	count := 0
+	for _, worker := range scheduler.ranked {
+		count += worker.placesFor(now, step)
+	}
+	return count
+}
+
+// heldFirst moves the first worker on which a place is kept for step to the front of workers.
 func heldFirst(now time.Time, step *step, workers []*worker) []*worker {
-	if !now.Before(step.heldUntil) {
+	if !now.Before(step.placesHeldUntil) {
 		return workers
 	}
 	for index, worker := range workers {
-		if worker.heldFor == step {
+		if worker.placesFor(now, step) > 0 {
 			return slices.Concat(workers[index:index+1], workers[:index], workers[index+1:])
 		}
 	}
 	return workers
 }
 
-// heldForOther reports whether capacity of the worker is kept for a lasting step other than step.
-func (worker *worker) heldForOther(now time.Time, step *step) bool {
-	return worker.heldFor != nil && worker.heldFor != step && now.Before(worker.heldFor.heldUntil) && worker.heldFor.unplaced > 0
-}
-
 // evictable returns the runs on the worker that may be stopped for a lasting task, in two forms. The members of a
 // gang are left out, since a stop of one ends them all.
 func (worker *worker) evictable(now time.Time) ([]*run, []evictor.Run) {
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -365,8 +365,7 @@
 	estimated := scheduler.estimatorTask(now, step)
 	var bestScore float64
 	consider := func(worker *worker, ticket ticket) {
-		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack || worker.heldForOther(now, step) ||
-			scheduler.isolating[worker] {
+		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack || scheduler.isolating[worker] {
 			return
 		}
 		joins := worker.mayJoin(now, task)
@@ -376,7 +375,7 @@
 		if isolated && !joins && (assigned[worker] > 0 || worker.starting()) {
 			return
 		}
-		free := worker.free()
+		free := worker.freeFor(now, step)
 		alreadyAssigned := assigned[worker]
 		for range alreadyAssigned {
 			free = free.Sub(needs)
@@ -445,6 +444,7 @@
 		ticket:      ticket,
 	}
 	task.run = run.number
+	worker.takePlace(task.step)
 	scheduler.allocate(run)
 	run.beginProbation(now)
 	scheduler.markDirty(job)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -197,8 +197,10 @@
 	criticalPath time.Duration
 	// waitingFrom is when the waiting tasks of a lasting step began to wait, zero before the first run.
 	waitingFrom time.Time
-	// heldUntil is until when capacity is kept for this lasting step. No runs are stopped for it before.
-	heldUntil time.Time
+	// placesHeldUntil is until when places are kept for this lasting step at the longest. No runs are stopped for it before
+	// evictableFrom.
+	placesHeldUntil time.Time
+	evictableFrom   time.Time
 	// fitsOneRack reports whether a rack could hold the step, as of rackCheckedAt.
 	fitsOneRack   bool
 	rackCheckedAt time.Time
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -101,8 +101,8 @@
 	latency *estimator.Latency
 	// drainingSince is when the worker first reported that it is draining; zero while it is not.
 	drainingSince time.Time
-	// heldFor is the lasting step for which capacity of the worker was kept last, until its heldUntil.
-	heldFor *step
+	// heldPlaces are the places that are kept for lasting steps, also those that are not in force any more.
+	heldPlaces []heldPlace
 	// probation holds the suspects whose starts the worker has to survive before it gets other runs; nil if none.
 	probation *probation
 }
