--- a/internal/cell/scheduler/advice.go
+++ b/internal/cell/scheduler/advice.go
@@ -51,6 +51,8 @@
 	lastAnswer   time.Time
 	// tickets holds the latest ticket for each worker.
 	tickets map[describer.WorkerID]ticket
+	// answers counts the answers so far.
+	answers int
 	// validUntil is when the last of the tickets expires.
 	validUntil time.Time
 	// allowed maps each worker named in an answered request to whether it may run the step.
@@ -305,6 +307,7 @@
 	advice := &step.advice
 	advice.openRequests = max(advice.openRequests-1, 0)
 	advice.lastAnswer = now
+	advice.answers++
 	if err != nil {
 		return
 	}
--- a/internal/cell/scheduler/lists.go
+++ b/internal/cell/scheduler/lists.go
@@ -85,7 +85,7 @@
 // noteRelisted handles a run that a worker lists as running after it was in neither list: the answer was overtaken by the
 // other one, or a late order started the run on a new incarnation. It is stopped, since it may have ended before.
 func (scheduler *Scheduler) noteRelisted(now time.Time, run *run) {
-	run.worker.used = run.worker.used.Add(run.task.step.Occupied())
+	run.worker.occupy(run.task.step)
 	run.charge()
 	run.phase = phaseRunning
 	scheduler.stop(now, run, "run is listed again after its end")
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -75,19 +75,25 @@
 		if queued.step.Gang {
 			queuedShare = &queuedByGangs
 		}
-		if *queuedShare < maxQueuedCPUShare || scheduler.freeShare > idleShare && blockedSteps < maxBlockedSteps {
+		scheduler.noteIdle(now, queued.step)
+		feasible := scheduler.feasible(now, queued.step)
+		if feasible && (*queuedShare < maxQueuedCPUShare || queued.step.starves(now) || scheduler.freeShare > idleShare && blockedSteps < maxBlockedSteps) {
 			scheduler.requestAdvice(now, queued)
 		}
-		if queued.lateness < 2 {
+		if feasible && queued.lateness < 2 {
 			*queuedShare += scheduler.cpuShare(queued.step)
 		}
 		scheduler.deferrable = queued.urgentFrom.Sub(now) > deferrableSlack
 		scheduler.givesWay = queued.yields || queued.lateness > 0
+		scheduler.starves = queued.step.starves(now)
 		scheduler.placeStep(now, queued.step)
 		if !queued.step.advice.unplacedInLastPass || queued.lateness == 2 {
 			return
 		}
 		scheduler.evict(now, queued.step)
+		if !feasible {
+			return
+		}
 		if queued.step.advice.hasValidTicket(now) {
 			blockedSteps++
 		}
@@ -179,10 +185,11 @@
 }
 
 // isReserved reports whether the step that is being placed has to leave the worker to a gang: it can wait, or its queue is
-// below that of the gang, or its delay costs callers less and its queue is not above that of the gang.
+// below that of the gang, or its delay costs callers less and its queue is not above that of the gang. A step that starves
+// uses the worker all the same.
 func (scheduler *Scheduler) isReserved(worker *worker, step *step) bool {
 	priority, reserved := scheduler.reserved[worker.id]
-	return reserved && (scheduler.deferrable || step.job.policy.Priority > priority || scheduler.givesWay && step.job.policy.Priority >= priority)
+	return reserved && !scheduler.starves && (scheduler.deferrable || step.job.policy.Priority > priority || scheduler.givesWay && step.job.policy.Priority >= priority)
 }
 
 func (scheduler *Scheduler) placeStep(now time.Time, step *step) {
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -13,7 +13,7 @@
 	task := run.task
 	worker := run.worker
 	worker.runs[run.id()] = run
-	worker.used = worker.used.Add(task.step.Occupied())
+	worker.occupy(task.step)
 	run.charge()
 	task.active = run
 	task.state = taskActive
@@ -23,6 +23,22 @@
 	}
 }
 
+// occupy takes up what a task of step needs on the worker.
+func (worker *worker) occupy(step *step) {
+	worker.used = worker.used.Add(step.Occupied())
+	if step.Perpetual {
+		worker.usedByLasting = worker.usedByLasting.Add(step.Occupied())
+	}
+}
+
+// vacate frees what a task of step needs on the worker.
+func (worker *worker) vacate(step *step) {
+	worker.used = worker.used.Sub(step.Occupied())
+	if step.Perpetual {
+		worker.usedByLasting = worker.usedByLasting.Sub(step.Occupied())
+	}
+}
+
 // deallocate frees the resources of a run on its worker.
 func (scheduler *Scheduler) deallocate(run *run) {
 	id := run.id()
@@ -38,7 +54,7 @@
 // freeResources frees what a run takes up on its worker.
 func (scheduler *Scheduler) freeResources(run *run) {
 	run.endProbation()
-	run.worker.used = run.worker.used.Sub(run.task.step.Occupied())
+	run.worker.vacate(run.task.step)
 	run.credit()
 	scheduler.changed = true
 }
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -83,10 +83,11 @@
 	scarcity Scarcity
 	// reserved holds the workers that are reserved for gangs in this pass, with the highest priority of their queues.
 	// deferrable means that the step being placed can wait and must not use them, givesWay that it must not use those of
-	// gangs whose queue is not below its own.
+	// gangs whose queue is not below its own, and starves that it may use all.
 	reserved   map[describer.WorkerID]int
 	deferrable bool
 	givesWay   bool
+	starves    bool
 	// isolating holds the workers chosen for the suspects of the gang being placed, which take no other member.
 	isolating map[*worker]bool
 	// adviceRoom is the room for requests in this pass.
@@ -204,7 +205,10 @@
 	// fitsOneRack reports whether a rack could hold the step, as of rackCheckedAt.
 	fitsOneRack   bool
 	rackCheckedAt time.Time
-	failing       failing
+	feasibility   feasibility
+	// idleFrom is since when no task of the step has run although most of the cell is free; zero if one runs.
+	idleFrom time.Time
+	failing  failing
 	// evacuated is the pass in which a task of the step was last found on a draining worker.
 	evacuated time.Time
 }
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -60,6 +60,8 @@
 	forgotten bool
 	runs      map[describer.TaskID]*run
 	used      descriptor.Resources
+	// usedByLasting is the part of used that lasting runs take up.
+	usedByLasting descriptor.Resources
 	// strays are runs on the worker without a record. Their resource use is unknown, so the worker is not usable
 	// until they have ended.
 	strays map[describer.TaskID]int
--- a/internal/cell/scheduler/yielding.go
+++ b/internal/cell/scheduler/yielding.go
@@ -65,7 +65,7 @@
 	for index := range queue {
 		queued := &queue[index]
 		switch {
-		case queued.lateness > 0 || queued.step.Perpetual:
+		case queued.lateness > 0 || queued.step.Perpetual || !scheduler.feasible(now, queued.step):
 		case over[queued.step.job.account]:
 			queued.yields = true
 			anyYields = true
