--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -53,7 +53,7 @@
 		if slots > 0 && step.MaxPerWorker > 0 {
 			slots = min(slots, step.MaxPerWorker-worker.runCount(step))
 		}
-		slots = worker.trialSlots(now, step, slots)
+		slots = scheduler.trialSlots(now, worker, step, slots)
 		if slots <= 0 {
 			return
 		}
@@ -68,6 +68,9 @@
 		})
 	}
 	scheduler.eachAllowed(now, step, consider)
+	if found.slots == 0 && step.takesQuarantined(now) {
+		scheduler.eachQuarantined(now, step, consider)
+	}
 	if found.slots < step.neededSlots() {
 		return found
 	}
--- a/internal/cell/scheduler/feasibility.go
+++ b/internal/cell/scheduler/feasibility.go
@@ -12,6 +12,8 @@
 	// maxIdleWait is how long a step without a run leaves workers to gangs, or its requests for advice to earlier steps,
 	// while more than idleShare of the cell is free. By the rules of the platform's users it must start within 3 s then.
 	maxIdleWait = 1500 * time.Millisecond
+	// idleQuarantinedDelay is how long such a step waits for a sound worker before it is started on a quarantined one.
+	idleQuarantinedDelay = 2500 * time.Millisecond
 )
 
 // feasibility tells whether a step could be placed if all runs that end had ended.
@@ -46,7 +48,7 @@
 	for _, workers := range [][]*worker{scheduler.ranking.usable, scheduler.ranking.quarantined} {
 		for _, worker := range workers {
 			scheduler.stats.Examined++
-			if allowed, asked := step.advice.allowed[worker.id]; asked && !allowed || !worker.canRun(step) {
+			if !step.mayUse(worker) {
 				continue
 			}
 			capacity := worker.description.Capacity
@@ -76,3 +78,26 @@
 func (step *step) starves(now time.Time) bool {
 	return !step.idleFrom.IsZero() && now.Sub(step.idleFrom) >= maxIdleWait
 }
+
+// takesQuarantined reports whether step has waited for so long that a quarantined worker is better than none: a lasting one
+// that ran before, or one without a run in a mostly idle cell. A gang waits, since it would be lost as a whole.
+func (step *step) takesQuarantined(now time.Time) bool {
+	switch {
+	case step.unplaced == 0 || step.Gang:
+		return false
+	case step.Perpetual && !step.waitingFrom.IsZero():
+		return now.Sub(step.waitingFrom) >= quarantinedDelay
+	default:
+		return !step.idleFrom.IsZero() && now.Sub(step.idleFrom) >= idleQuarantinedDelay
+	}
+}
+
+// eachQuarantined calls visit for each quarantined worker that may be given a task of step, with its ticket.
+func (scheduler *Scheduler) eachQuarantined(now time.Time, step *step, visit func(worker *worker, ticket ticket)) {
+	for _, worker := range scheduler.ranking.quarantined {
+		ticket := step.advice.tickets[worker.id]
+		if worker.canRun(step) && (step.job.policy.Advice == nil || ticket.valid(now)) {
+			visit(worker, ticket)
+		}
+	}
+}
--- a/internal/cell/scheduler/health.go
+++ b/internal/cell/scheduler/health.go
@@ -24,7 +24,8 @@
 	// maxQuarantinePeriod limits the doubling.
 	maxQuarantinePeriod = 16 * time.Second
 	// ownFaultWorkers is the number of workers on which the runs of a step have to fail before the step is to blame. Two may
-	// be among the workers that fail all they start.
+	// be among the workers that fail all they start. A step that may use only some workers of its service, and fewer than
+	// these, has to fail on all of them.
 	ownFaultWorkers = 3
 	// trialPenalty is added to the expected time of a task on a worker on trial, by the usual one, if the task's objective
 	// leaves no time for a second run.
@@ -40,13 +41,17 @@
 	// failures counts the failed runs since the last one that was done, by step.
 	failures map[*step]int
 	// quarantinedUntil is when the worker may be given work again, and failedUntil the last such time that was set because
-	// of failures.
+	// of failures, which was done at failedAt.
 	quarantinedUntil time.Time
 	failedUntil      time.Time
+	failedAt         time.Time
 	// trial means that the worker was quarantined for failures and has not shown since that it does not fail. failedAfter is
 	// the longest time that a failed run took since the last one that was done.
 	trial       bool
 	failedAfter time.Duration
+	// otherTrial tells whether another step could be tried, as of otherTrialAt.
+	otherTrial   bool
+	otherTrialAt time.Time
 	// speed is that of the worker, as learnt from its runs.
 	speed estimator.Speed
 }
@@ -98,6 +103,9 @@
 	switch outcome {
 	case describer.OutcomeDone:
 		clear(health.failures)
+		if health.isTrial(run) {
+			health.reopen(now)
+		}
 		scheduler.reinstate(now, run.worker)
 		health.failedAfter = 0
 		run.task.step.failing.succeeded = true
@@ -112,12 +120,13 @@
 		}
 		scheduler.noteFailing(now, run)
 		counted := health.countedFailures()
-		if counted < quarantineThreshold || scheduler.mostQuarantined(now, run.worker) {
+		if counted < quarantineThreshold || scheduler.mostQuarantined(now, run) {
 			return
 		}
 		shift := min(counted-quarantineThreshold, 8)
 		scheduler.quarantine(now, run.worker, min(initialQuarantinePeriod<<shift, maxQuarantinePeriod), "consecutive runs failed")
 		health.failedUntil = health.quarantinedUntil
+		health.failedAt = now
 		health.trial = true
 	}
 }
@@ -161,7 +170,7 @@
 	}
 	failing.workers[run.worker] = true
 	failing.tasks[run.task] = true
-	if len(failing.workers) < ownFaultWorkers {
+	if len(failing.workers) < scheduler.blamableWorkers(step) {
 		return
 	}
 	started := 0
@@ -177,8 +186,7 @@
 	opened := 0
 	for worker := range failing.workers {
 		health := &worker.health
-		if now.Before(health.failedUntil) && health.quarantinedUntil.Equal(health.failedUntil) && health.countedFailures() < quarantineThreshold {
-			health.quarantinedUntil = now
+		if health.countedFailures() < quarantineThreshold && health.reopen(now) {
 			health.trial = false
 			scheduler.changed = true
 			opened++
@@ -193,6 +201,48 @@
 	failing.workers, failing.tasks = nil, nil
 }
 
+// blamableWorkers returns the number of workers on which the runs of step have to fail before the step is to blame.
+func (scheduler *Scheduler) blamableWorkers(step *step) int {
+	others, allowed := 0, 0
+	for _, worker := range scheduler.ranking.workers {
+		switch {
+		case !worker.usable() || worker.description.Service != step.job.policy.Service:
+		case !step.mayUse(worker):
+			others++
+		default:
+			allowed++
+		}
+		if allowed >= ownFaultWorkers {
+			return ownFaultWorkers
+		}
+	}
+	if others == 0 || allowed < 2 {
+		// A single worker may as well be to blame.
+		return ownFaultWorkers
+	}
+	return allowed
+}
+
+// mayUse reports whether the worker, when empty, could run a task of step, and the advice service has not denied it.
+func (step *step) mayUse(worker *worker) bool {
+	allowed, asked := step.advice.allowed[worker.id]
+	return (allowed || !asked) && worker.canRun(step)
+}
+
+// reopen ends a quarantine that was set because of failures. It reports whether there was one.
+func (health *health) reopen(now time.Time) bool {
+	if !now.Before(health.failedUntil) || !health.quarantinedUntil.Equal(health.failedUntil) {
+		return false
+	}
+	health.quarantinedUntil = now
+	return true
+}
+
+// isTrial reports whether the run was placed on its worker after the worker was quarantined for failures.
+func (health *health) isTrial(run *run) bool {
+	return !run.firstPlaced.Before(health.failedAt)
+}
+
 // maxGangTrial is how long a worker on trial takes no gang. Without single tasks that could end its trial, a gang would
 // otherwise wait for it forever.
 const maxGangTrial = 2 * time.Second
@@ -202,9 +252,17 @@
 	return worker.health.trial && (!step.Gang || now.Sub(worker.health.failedUntil) < maxGangTrial)
 }
 
+const (
+	// maxTrialDeferral is how long after a quarantine a step that has failed on the worker leaves the trial to others.
+	maxTrialDeferral = time.Second
+	// otherTrialInterval is how often it is checked whether there are others, which takes a look at all waiting steps.
+	otherTrialInterval = 100 * time.Millisecond
+)
+
 // trialSlots returns how many of the given slots of a worker may be used for a step. After a quarantine for failures the
-// worker is tried with one task at a time, and for a while with no gang, which would be lost as a whole.
-func (worker *worker) trialSlots(now time.Time, step *step, slots int) int {
+// worker is tried with one task at a time, and for a while with no gang, which would be lost as a whole. A step that has
+// failed there leaves the trial to one that has not, since its failure would not tell whether the worker is to blame.
+func (scheduler *Scheduler) trialSlots(now time.Time, worker *worker, step *step, slots int) int {
 	health := &worker.health
 	if !worker.onTrial(now, step) {
 		return slots
@@ -213,18 +271,46 @@
 		return 0
 	}
 	for _, run := range worker.runs {
-		if !run.firstPlaced.Before(health.failedUntil) {
+		if health.isTrial(run) {
 			return 0
 		}
 	}
+	if health.failures[step] > 0 && now.Sub(health.failedUntil) < maxTrialDeferral && scheduler.hasOtherTrial(now, worker) {
+		return 0
+	}
 	return min(slots, 1)
 }
 
+// hasOtherTrial reports whether a step that has not failed on the worker could be tried there.
+func (scheduler *Scheduler) hasOtherTrial(now time.Time, worker *worker) bool {
+	health := &worker.health
+	if now.Sub(health.otherTrialAt) >= otherTrialInterval {
+		health.otherTrialAt = now
+		health.otherTrial = scheduler.findOtherTrial(now, worker)
+	}
+	return health.otherTrial
+}
+
+func (scheduler *Scheduler) findOtherTrial(now time.Time, worker *worker) bool {
+	quarantined := now.Before(worker.health.quarantinedUntil)
+	for other := range scheduler.waiting {
+		scheduler.stats.Examined++
+		if other.Gang || other.Perpetual || worker.health.failures[other] > 0 || quarantined && !other.takesQuarantined(now) {
+			continue
+		}
+		ticketed := other.job.policy.Advice == nil || other.advice.tickets[worker.id].valid(now)
+		if ticketed && other.uniform() && other.capRoom() > 0 && worker.canRun(other) && fits(other.Occupied(), worker.freeFor(now, other)) {
+			return true
+		}
+	}
+	return false
+}
+
 // endTrial ends the trial of the run's worker if the run has gone on for longer than those that failed.
 func (scheduler *Scheduler) endTrial(now time.Time, run *run) {
 	health := &run.worker.health
-	if health.trial && run.phase == phaseRunning && !run.firstPlaced.Before(health.failedUntil) &&
-		now.Sub(run.confirmedAt) > health.failedAfter {
+	if health.trial && run.phase == phaseRunning && health.isTrial(run) && now.Sub(run.confirmedAt) > health.failedAfter {
+		health.reopen(now)
 		scheduler.reinstate(now, run.worker)
 	}
 }
@@ -244,20 +330,45 @@
 	})
 }
 
-// mostQuarantined reports whether more than half of the other usable workers of the worker's service are quarantined. What
-// fails on so many is seldom their fault, and the last ones must not be closed as well. A single worker may be.
-func (scheduler *Scheduler) mostQuarantined(now time.Time, worker *worker) bool {
-	usable, quarantined := 0, 0
+// workerGroup counts workers of which a step may need one.
+type workerGroup struct {
+	usable, quarantined int
+}
+
+func (group *workerGroup) add(quarantined bool) {
+	group.usable++
+	if quarantined {
+		group.quarantined++
+	}
+}
+
+func (group *workerGroup) mostQuarantined() bool {
+	return 2*group.quarantined > group.usable
+}
+
+// mostQuarantined reports whether more than half of the other usable workers that some work may depend on are quarantined:
+// those of the service of the run's worker, those of its kind there, or those that the step of the run may use. What fails
+// on so many is seldom their fault, and the last ones must not be closed as well. A single worker may be.
+func (scheduler *Scheduler) mostQuarantined(now time.Time, run *run) bool {
+	worker := run.worker
+	if worker.description == nil {
+		return false
+	}
+	var service, kind, allowed workerGroup
 	for _, other := range scheduler.ranking.workers {
-		if other == worker || !other.usable() || worker.description == nil || other.description.Service != worker.description.Service {
+		if other == worker || !other.usable() || other.description.Service != worker.description.Service {
 			continue
 		}
-		usable++
-		if now.Before(other.health.quarantinedUntil) {
-			quarantined++
+		quarantined := now.Before(other.health.quarantinedUntil)
+		service.add(quarantined)
+		if other.description.Kind == worker.description.Kind {
+			kind.add(quarantined)
+		}
+		if run.task.step.mayUse(other) {
+			allowed.add(quarantined)
 		}
 	}
-	return 2*quarantined > usable
+	return service.mostQuarantined() || kind.mostQuarantined() || allowed.mostQuarantined()
 }
 
 // recordRunTime updates the run time statistics from a completed run. Only first runs count, since they are known
@@ -330,6 +441,8 @@
 	if now.Sub(run.lastProgress) < max(stallTimeout, scheduler.runTime(step)/8) {
 		return
 	}
-	scheduler.quarantine(now, run.worker, 2*initialQuarantinePeriod, "run makes no progress")
+	if !scheduler.mostQuarantined(now, run) {
+		scheduler.quarantine(now, run.worker, 2*initialQuarantinePeriod, "run makes no progress")
+	}
 	scheduler.stop(now, run, "run made no progress")
 }
--- a/internal/cell/scheduler/lasting.go
+++ b/internal/cell/scheduler/lasting.go
@@ -46,12 +46,6 @@
 	}
 }
 
-// takesQuarantined reports whether the tasks of a lasting step have waited for so long that a quarantined worker is better
-// than none.
-func (step *step) takesQuarantined(now time.Time) bool {
-	return step.Perpetual && step.unplaced > 0 && !step.waitingFrom.IsZero() && now.Sub(step.waitingFrom) >= quarantinedDelay
-}
-
 // evict stops runs of other work for a lasting task that has waited too long: by the rules of the platform's users
 // it must run again soon, however full the workers are. One worker is cleared at a time for each step, and none for a task
 // for which a place is kept.
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -393,7 +393,7 @@
 		if step.MaxPerWorker > 0 && worker.runCount(step)+alreadyAssigned >= step.MaxPerWorker {
 			return
 		}
-		if worker.trialSlots(now, step, 1) == 0 || worker.onTrial(now, step) && alreadyAssigned > 0 {
+		if scheduler.trialSlots(now, worker, step, 1) == 0 || worker.onTrial(now, step) && alreadyAssigned > 0 {
 			return
 		}
 		score := scheduler.score(worker, task, estimated, free)
@@ -406,12 +406,7 @@
 	}
 	scheduler.eachAllowed(now, step, consider)
 	if best == nil && step.takesQuarantined(now) {
-		for _, worker := range scheduler.ranking.quarantined {
-			ticket := step.advice.tickets[worker.id]
-			if worker.canRun(step) && (step.job.policy.Advice == nil || ticket.valid(now)) {
-				consider(worker, ticket)
-			}
-		}
+		scheduler.eachQuarantined(now, step, consider)
 	}
 	return best, bestTicket
 }
--- a/internal/cell/scheduler/runs.go
+++ b/internal/cell/scheduler/runs.go
@@ -18,6 +18,7 @@
 	task.active = run
 	task.state = taskActive
 	task.step.unplaced--
+	task.step.idleFrom = time.Time{}
 	if task.step.unplaced == 0 {
 		delete(scheduler.waiting, task.step)
 	}
