--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -44,6 +44,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// graceMargin is the part of the stop grace period that the drain leaves unused.
 	graceMargin = 700 * time.Millisecond
+	// answerMargin is how long before the end of the drain all calls have to be answered, so that the answers can be sent.
+	answerMargin = 200 * time.Millisecond
 	// defaultGrace is the stop grace period if the settings do not specify one.
 	defaultGrace = 6 * time.Second
 	// headerTimeout bounds the reading of a request header.
@@ -93,9 +95,6 @@
 	alerter      *alerter.Alerter
 	admitter     *admitter.Admitter
 	elector      *elector.Elector
-	// resign cancels electionCtx, in which the elector runs and may hold the leader lease.
-	resign      context.CancelFunc
-	electionCtx context.Context
 
 	mutex  sync.Mutex
 	leader *leader.Leader
@@ -129,7 +128,6 @@
 	instance.advice.OnCall = instance.observer.PlatformCallEnded
 	instance.connector, closeConnector = connector.New()
 	instance.connector.OnReplaced = instance.observer.ConnectionReplaced
-	instance.electionCtx, instance.resign = context.WithCancel(context.Background())
 	instance.relayer = &relayer.Relayer{
 		Direct:               instance.store,
 		Peer:                 instance.connector,
@@ -186,7 +184,7 @@
 		OnEvent:           instance.observer.LeadershipChanged,
 	})
 	return instance, func() {
-		instance.resign()
+		instance.elector.Resign()
 		closeConnector()
 		closeAdvice()
 		closeWorkers()
@@ -222,7 +220,7 @@
 	}
 	logger.Log(context.Background(), instance.log, logger.EventDraining)
 	instance.admitter.MarkNotReady()
-	instance.resign()
+	instance.elector.Resign()
 	err = instance.drain(servers)
 	logger.Log(context.Background(), instance.log, logger.EventStopped, logger.Error(err))
 	return err
@@ -230,19 +228,7 @@
 
 // addComponents adds the background components to the supervision tree.
 func (instance *Instance) addComponents(tree *supervisor.Supervisor) {
-	tree.Add("Elector", func(ctx context.Context) error {
-		electorCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		stop := context.AfterFunc(instance.electionCtx, cancel)
-		defer stop()
-		err := instance.elector.Run(electorCtx)
-		if instance.electionCtx.Err() != nil {
-			// After a resignation the supervisor must not restart the elector.
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		return err
-	})
+	tree.Add("Elector", instance.elector.Run)
 	tree.Add("Config", instance.refresher.Run)
 	tree.Add("ConfigCheck", instance.alerter.Run)
 	tree.Add("Peers", func(ctx context.Context) error {
@@ -315,10 +301,12 @@
 	if grace == 0 {
 		grace = defaultGrace
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace-graceMargin, 0))
+	end := time.Now().Add(max(grace-graceMargin, 0))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, server := range servers {
 		server.Start()
+		server.EndCallsAt(end.Add(-answerMargin))
 	}
 	watcher.Sleep(ctx, min(drainDelay, grace/2))
 	var shutdownErrs []error
--- a/internal/cell/elector/elector.go
+++ b/internal/cell/elector/elector.go
@@ -153,6 +153,9 @@
 	handedOver bool
 	fence      describer.Fence
 	wake       chan struct{}
+	// resigned is closed by Resign.
+	resigned   chan struct{}
+	resignOnce sync.Once
 	// ownEntryLost means that the member key of this instance cannot be read.
 	ownEntryLost bool
 	// watchedAt is when the watch of the members was last answered. watchFailed means that its last call was not.
@@ -170,7 +173,8 @@
 		view: View{
 			Members: map[string]Member{},
 		},
-		wake: make(chan struct{}, 1),
+		wake:     make(chan struct{}, 1),
+		resigned: make(chan struct{}),
 	}
 }
 
@@ -181,27 +185,52 @@
 	return elector.view
 }
 
-// Run takes part in elections until ctx is cancelled, and then revokes the lease.
+// Run takes part in elections until ctx is cancelled or Resign is called, and then revokes the lease. It keeps the view up
+// to date until ctx is cancelled.
 func (elector *Elector) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	group.Go(func() {
 		elector.watchMembers(ctx)
 	})
+	group.Go(func() {
+		elector.checkLeaders(ctx)
+	})
+	elector.takePart(ctx)
+	group.Wait()
+	return ctx.Err()
+}
+
+// Resign ends the term, if any, and the part that the instance takes in elections. An instance that stops still answers
+// callers for some seconds, by way of the next leader, so that Run goes on to follow who leads.
+func (elector *Elector) Resign() {
+	elector.resignOnce.Do(func() {
+		close(elector.resigned)
+	})
+}
+
+// takePart takes part in elections until ctx is cancelled or Resign is called.
+func (elector *Elector) takePart(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
 	group.Go(func() {
 		elector.campaign(ctx)
 	})
 	group.Go(func() {
-		elector.checkLeaders(ctx)
+		select {
+		case <-elector.resigned:
+			cancel()
+		case <-ctx.Done():
+		}
 	})
 	elector.keepLease(ctx)
 	elector.confirmations.Wait()
 	group.Wait()
-	elector.resign()
-	return ctx.Err()
+	elector.revokeLease()
 }
 
-// resign revokes the lease and so removes the instance's keys, so that another instance can lead at once.
-func (elector *Elector) resign() {
+// revokeLease revokes the lease and so removes the instance's keys, so that another instance can lead at once.
+func (elector *Elector) revokeLease() {
 	lease := elector.leaseID()
 	if lease == 0 {
 		return
--- a/internal/entry/assembler/lifecycle.go
+++ b/internal/entry/assembler/lifecycle.go
@@ -194,6 +194,9 @@
 	return err
 }
 
+// answerMargin is how long before the end of the drain all calls have to be answered, so that the answers can be sent.
+const answerMargin = 200 * time.Millisecond
+
 // stop drains the instance: it reports that it is not ready, hands its shards over and then waits for the
 // calls in progress to complete.
 func (entry *Entry) stop() {
@@ -201,6 +204,9 @@
 	defer cancel()
 	entry.draining.Store(true)
 	entry.server.Start()
+	if end, bounded := ctx.Deadline(); bounded {
+		entry.server.EndCallsAt(end.Add(-answerMargin))
+	}
 	close(entry.drainStarted)
 	logger.Log(ctx, entry.log, logger.EventDraining)
 	entry.exchanger.SetLeaving(ctx)
--- a/internal/node/drainer/drainer.go
+++ b/internal/node/drainer/drainer.go
@@ -1,6 +1,6 @@
 // Package drainer stops an HTTP server without interrupting calls. Callers use an open connection until they learn that
 // it ends, so each response during the drain tells them so, and a connection without a call is closed only while
-// nothing has been read from it.
+// nothing has been read from it. A call that would outlast the drain is told when it has to be answered.
 package drainer
 
 import (
@@ -34,6 +34,10 @@
 	draining      atomic.Bool
 	// minIdle is the constant, or less in tests.
 	minIdle time.Duration
+	// callsEnd is when all calls have to be answered, nil before EndCallsAt. callsEnded is done from then on.
+	callsEnd   atomic.Pointer[time.Time]
+	callsEnded context.Context
+	endCalls   context.CancelFunc
 
 	mutex sync.Mutex
 	conns map[*conn]struct{}
@@ -48,6 +52,7 @@
 		minIdle:       minIdle,
 		conns:         make(map[*conn]struct{}),
 	}
+	drainer.callsEnded, drainer.endCalls = context.WithCancel(context.Background())
 	drainer.listener = &trackingListener{
 		Listener:      listener,
 		drainer:       drainer,
@@ -60,7 +65,9 @@
 			ResponseWriter: writer,
 			draining:       &drainer.draining,
 		}
-		next.ServeHTTP(closing, request)
+		ctx, cancel := drainer.callContext(request.Context())
+		defer cancel()
+		next.ServeHTTP(closing, request.WithContext(ctx))
 		closing.beforeHeader()
 	})
 	server.ConnState = drainer.connState
@@ -83,6 +90,26 @@
 	drainer.draining.Store(true)
 }
 
+// EndCallsAt tells the calls that they have to be answered by a time: the contexts of those in progress are cancelled then,
+// and those of later calls have it as their deadline. The handler answers a call whose context has ended.
+func (drainer *Drainer) EndCallsAt(end time.Time) {
+	drainer.callsEnd.Store(&end)
+	time.AfterFunc(time.Until(end), drainer.endCalls)
+}
+
+// callContext returns the context of a call and a function that releases its resources.
+func (drainer *Drainer) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if end := drainer.callsEnd.Load(); end != nil {
+		return context.WithDeadline(ctx, *end)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(drainer.callsEnded, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Shutdown starts the drain, stops accepting, closes the connections that have been idle for a while, and waits for the
 // calls in progress. If ctx ends first, it returns the error of ctx and leaves the calls as they are.
 func (drainer *Drainer) Shutdown(ctx context.Context) error {
--- a/internal/node/drainer/drainer_test.go
+++ b/internal/node/drainer/drainer_test.go
@@ -268,3 +268,38 @@
 	}
 	t.Logf("%d of %d calls were carried out", carriedOut, rounds)
 }
+
+// TestCallsEnd guards against a call that a stopping server reads and holds until its process exits (review/10): each is told
+// when it has to be answered, whether it came before the drain or late in it, and without a deadline of its own.
+func TestCallsEnd(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	drainer, dial := start(t, func(writer http.ResponseWriter, request *http.Request) {
+		arrived <- struct{}{}
+		select {
+		case <-request.Context().Done():
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		case <-time.After(testTimeout):
+		}
+	})
+	calls := make(chan bool, 2)
+	for _, client := range []*client{dial(), dial()} {
+		go func() {
+			_, _ = io.WriteString(client, firstPart+secondPart)
+			closing, err := client.receive()
+			calls <- err == nil && closing
+		}()
+		<-arrived
+		drainer.Start()
+		drainer.EndCallsAt(time.Now().Add(300 * time.Millisecond))
+	}
+	for range 2 {
+		select {
+		case answered := <-calls:
+			if !answered {
+				t.Error("a call got no complete answer, or one that leaves its connection open")
+			}
+		case <-time.After(testTimeout / 2):
+			t.Fatal("a call was held after the end of the calls")
+		}
+	}
+}
