--- a/internal/cell/scheduler/disputed.go
+++ b/internal/cell/scheduler/disputed.go
@@ -41,8 +41,13 @@
 	worker.disputed = former
 }
 
-// settleDisputed applies the incarnation of an answer to the disputed entry.
+// settleDisputed applies the incarnation of an answer to the disputed entry, and to one that named an earlier incarnation
+// than had answered: the machine's wall clock was set back if that answers.
 func (scheduler *Scheduler) settleDisputed(now time.Time, worker *worker, incarnation time.Time) {
+	if outdated := worker.outdated; outdated != nil && outdated.Incarnation.Equal(incarnation) && !worker.described() {
+		scheduler.use(now, worker, outdated)
+		worker.outdated = nil
+	}
 	switch {
 	case worker.disputed == nil:
 	case worker.disputed.Incarnation.Before(incarnation):
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -327,9 +327,15 @@
 	return worker.description.Capacity.Sub(worker.used)
 }
 
+// described reports whether the entry of the worker's present incarnation is known. The next one may be of another kind and
+// capacity.
+func (worker *worker) described() bool {
+	return worker.description != nil && worker.description.Incarnation.Equal(worker.incarnation)
+}
+
 // usable reports whether the worker may be given any work.
 func (worker *worker) usable() bool {
-	return worker.answered && !worker.unregistered && worker.description != nil && !worker.description.Draining &&
+	return worker.answered && !worker.unregistered && worker.described() && !worker.description.Draining &&
 		worker.silentSince.IsZero() && len(worker.strays) == 0
 }
 
--- a/internal/cell/scheduler/workers.go
+++ b/internal/cell/scheduler/workers.go
@@ -41,6 +41,8 @@
 	// which the worker has answered: another writer may have left it, so that the worker's answers decide.
 	description *describer.Worker
 	disputed    *describer.Worker
+	// outdated is the last entry that named an earlier incarnation than had answered; nil if none did.
+	outdated *describer.Worker
 	// incarnation is the start time of the worker's latest known incarnation: that of its last answer or, while
 	// answeredInTerm is not set, that in the records.
 	incarnation time.Time
@@ -144,6 +146,7 @@
 		return
 	}
 	if description.Incarnation.Before(worker.incarnation) {
+		worker.outdated = description
 		return
 	}
 	worker.unregistered = false
