scheduler: lasting tasks that were lost often do not close the cell

Cause: a worker on which such a task runs starts nothing else, however many of the workers of the cell are closed in this way.

Change: a step of which nothing has run for 2.5 s while more than half of the cell is free is started beside lasting tasks whose start the worker has survived.

--- a/internal/cell/scheduler/candidates.go
+++ b/internal/cell/scheduler/candidates.go
@@ -45,7 +45,7 @@
 	task := scheduler.estimatorTask(now, step)
 	consider := func(worker *worker, ticket ticket) {
 		if scheduler.isReserved(worker, step) || rack != "" && worker.description.Rack != rack ||
-			worker.probation != nil {
+			worker.closedTo(now, step) {
 			return
 		}
 		free := worker.freeFor(now, step)
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -382,7 +382,7 @@
 			return
 		}
 		joins := worker.mayJoin(now, task)
-		if worker.probation != nil && !joins {
+		if worker.closedTo(now, step) && !joins {
 			return
 		}
 		if isolated && !joins && (assigned[worker] > 0 || worker.starting()) {
--- a/internal/cell/scheduler/suspects.go
+++ b/internal/cell/scheduler/suspects.go
@@ -237,6 +237,24 @@
 	worker.probation.room--
 }
 
+// closedTo reports whether the worker starts no task of step because of its suspects. A step that would take a quarantined
+// worker is started beside lasting suspects whose start the worker has survived: they go on for as long as their job, and
+// must not close a cell that is mostly idle.
+func (worker *worker) closedTo(now time.Time, step *step) bool {
+	if worker.probation == nil {
+		return false
+	}
+	if !step.takesQuarantined(now) {
+		return true
+	}
+	for run := range worker.probation.runs {
+		if !run.task.step.Perpetual || !run.survived {
+			return true
+		}
+	}
+	return false
+}
+
 // endProbation opens the worker for other runs again once there is no other suspect whose start it has to survive.
 func (run *run) endProbation() {
 	probation := run.worker.probation
