--- a/integration/cell/stop_test.go
+++ b/integration/cell/stop_test.go
@@ -111,7 +111,9 @@
 					t.Fatal(err)
 				}
 				calls.Go(func() {
-					defer conn.Close()
+					defer func() {
+						_ = conn.Close()
+					}()
 					time.Sleep(lateCallDelay)
 					status, took, err := lateCall(conn)
 					switch {
--- a/internal/cell/scheduler/placement.go
+++ b/internal/cell/scheduler/placement.go
@@ -64,51 +64,67 @@
 	clear(scheduler.capBlocked)
 	scheduler.deferrable = false
 	scheduler.evacuate(now)
-	blockedSteps, reservations := 0, 0
-	// Gangs wait longer than single tasks, so the CPU that they need must not keep other steps from requesting advice.
-	var queuedByGangs, queuedByOthers float64
-	place := func(queued queuedStep) {
-		if scheduler.cappedInPass(queued) {
-			return
-		}
-		queuedShare := &queuedByOthers
-		if queued.step.Gang {
-			queuedShare = &queuedByGangs
-		}
-		scheduler.noteIdle(now, queued.step)
-		feasible := scheduler.feasible(now, queued.step)
-		if feasible && (*queuedShare < maxQueuedCPUShare || queued.step.starves(now) || scheduler.freeShare > idleShare && blockedSteps < maxBlockedSteps) {
-			scheduler.requestAdvice(now, queued)
-		}
-		if feasible && queued.lateness < 2 {
-			*queuedShare += scheduler.cpuShare(queued.step)
-		}
-		scheduler.deferrable = queued.urgentFrom.Sub(now) > deferrableSlack
-		scheduler.givesWay = queued.yields || queued.lateness > 0
-		scheduler.starves = queued.step.starves(now)
-		scheduler.placeStep(now, queued.step)
-		if !queued.step.advice.unplacedInLastPass || queued.lateness == 2 {
-			return
-		}
-		scheduler.evict(now, queued.step)
-		if !feasible {
-			return
-		}
-		if queued.step.advice.hasValidTicket(now) {
-			blockedSteps++
-		}
-		if queued.step.Gang && reservations < maxReservations {
-			reservations++
-			scheduler.reserve(now, queued.step)
-		}
-	}
+	pass := &pass{}
 	for _, queued := range queue {
 		scheduler.containStep(queued.step, func() {
-			place(queued)
+			scheduler.placeQueued(now, pass, queued)
 		})
 	}
 }
 
+// pass is what the steps of one pass that come earlier leave to the later ones.
+type pass struct {
+	// blockedSteps counts the steps that have valid tickets and no free worker, reservations the gangs that reserve workers.
+	blockedSteps, reservations int
+	// queuedByGangs and queuedByOthers are the shares of the cell's CPU that waiting tasks need. Gangs wait longer than
+	// single tasks, so that what they need must not keep other steps from requesting advice.
+	queuedByGangs, queuedByOthers float64
+}
+
+// queuedShare returns the share that counts for step.
+func (pass *pass) queuedShare(step *step) *float64 {
+	if step.Gang {
+		return &pass.queuedByGangs
+	}
+	return &pass.queuedByOthers
+}
+
+// placeQueued requests advice for a waiting step and places its tasks.
+func (scheduler *Scheduler) placeQueued(now time.Time, pass *pass, queued queuedStep) {
+	if scheduler.cappedInPass(queued) {
+		return
+	}
+	step := queued.step
+	scheduler.noteIdle(now, step)
+	scheduler.starves = step.starves(now)
+	scheduler.deferrable = queued.urgentFrom.Sub(now) > deferrableSlack
+	scheduler.givesWay = queued.yields || queued.lateness > 0
+	feasible := scheduler.feasible(now, step)
+	queuedShare := pass.queuedShare(step)
+	idle := scheduler.freeShare > idleShare && pass.blockedSteps < maxBlockedSteps
+	if feasible && (*queuedShare < maxQueuedCPUShare || scheduler.starves || idle) {
+		scheduler.requestAdvice(now, queued)
+	}
+	if feasible && queued.lateness < 2 {
+		*queuedShare += scheduler.cpuShare(step)
+	}
+	scheduler.placeStep(now, step)
+	if !step.advice.unplacedInLastPass || queued.lateness == 2 {
+		return
+	}
+	scheduler.evict(now, step)
+	if !feasible {
+		return
+	}
+	if step.advice.hasValidTicket(now) {
+		pass.blockedSteps++
+	}
+	if step.Gang && pass.reservations < maxReservations {
+		pass.reservations++
+		scheduler.reserve(now, step)
+	}
+}
+
 // queueWaiting returns the waiting steps, the most urgent first. Those without any value left are among them every
 // overdueInterval only.
 func (scheduler *Scheduler) queueWaiting(now time.Time) []queuedStep {
