--- a/review/_harness-3/memory.go
+++ b/review/_harness-3/memory.go
@@ -11,7 +11,7 @@
 )
 
 // restartDelay is the delay after which the platform starts a process again.
-const restartDelay = 500 * time.Millisecond
+const restartDelay = 1500 * time.Millisecond
 
 // guard is the platform's watch over the memory of a process: one over its limit is killed, and started again after a
 // short delay.
