Review case 15: a gang waits for a rack that lasting tasks keep in part

An idle worker is lost for good; a gang with sameRack, for which all racks together have more than twice the room, has nothing running for the 50 s that are watched, since each rack would hold it if it were empty.

--- a/review/_harness-3/cell.go
+++ b/review/_harness-3/cell.go
@@ -462,3 +462,13 @@
 	}
 	return count
 }
+
+// idle returns a worker of a rack that runs nothing, or nil.
+func (cell *cell) idle(rack string) *worker {
+	for _, worker := range cell.workers {
+		if worker.labels[1] == rack && worker.runsOf("") == 0 {
+			return worker
+		}
+	}
+	return nil
+}
--- a/review/_harness-3/worker.go
+++ b/review/_harness-3/worker.go
@@ -362,13 +362,13 @@
 	return fmt.Sprintf("%s/%d", run.task[:strings.LastIndexByte(run.task, '.')], run.number)
 }
 
-// tasksOf returns the tasks of a job that run on the worker.
+// tasksOf returns the tasks of a job that run on the worker, those of all jobs if job is empty.
 func (worker *worker) tasksOf(job string) []string {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
 	var tasks []string
 	for task := range worker.runs {
-		if strings.HasPrefix(task, job+".") {
+		if job == "" || strings.HasPrefix(task, job+".") {
 			tasks = append(tasks, task)
 		}
 	}
