Review cases: measure the excuses of the rule, refuse starts without a ticket

Found by going over the cases again. The checks of 11, 14 and 15 now measure what the rule LOST excuses: a job counts only if it has nothing running for 3 s on end, from 14 s after the end of the traffic on, while its service has room for it twice over and under half of it is in use. The stand-in of a worker refuses a start without a valid ticket on a queue with a hint, and closes its connections when it is lost. Case 12 takes the first start after the loss.

--- a/review/_harness-3/cancel.go
+++ b/review/_harness-3/cancel.go
@@ -115,8 +115,8 @@
 		for _, task := range []string{".0.0.0", ".0.0.1", ".0.1.0", ".0.1.1", ".0.2.0", ".0.2.1"} {
 			if known := cell.seen(result.id + task); known.runs > 0 {
 				starts += known.runs
-				if known.started.After(latest) {
-					latest = known.started
+				if last := known.lastStart(); last.After(latest) {
+					latest = last
 				}
 			}
 		}
--- a/review/_harness-3/cell.go
+++ b/review/_harness-3/cell.go
@@ -45,6 +45,8 @@
 	base      int
 	memoryMb  int
 	advisers  []*adviser
+	// ticketed means that all queues have a hint, so that each start needs a ticket.
+	ticketed  bool
 	instances []*instance
 
 	mutex   sync.Mutex
@@ -52,17 +54,19 @@
 	gangs   map[string][]*run
 	// history tells what became of each task.
 	history map[string]*history
+	// used is what the runs on the workers of each service take up, in thousandths of a core.
+	used map[string]int64
 }
 
 // history is what the workers saw of one task.
 type history struct {
-	// running counts the runs at present; lastEnd is when the last of them ended.
-	running  int
-	runs     int
-	ends     map[string]int
-	started  time.Time
-	lastEnd  time.Time
-	firstRun time.Time
+	// running counts the runs at present, and runs those so far.
+	running int
+	runs    int
+	// ends counts the ends by their kind.
+	ends map[string]int
+	// starts are the times at which the runs started.
+	starts []time.Time
 }
 
 // instance is one process of the system.
@@ -96,9 +100,12 @@
 		program:   "target/pomelomoor",
 		workerIP:  fmt.Sprintf("127.%d.%d.9", 1+pid/200%200, 1+pid%200),
 		memoryMb:  284,
+		ticketed:  advice != nil,
 		gangs:     map[string][]*run{},
 		history:   map[string]*history{},
+		used:      map[string]int64{},
 	}
+	cleanUp = cell.close
 	storeAddress, storePort, err := cell.listen(cell.store)
 	if err != nil {
 		return nil, err
@@ -238,8 +245,7 @@
 }
 
 func (cell *cell) ticketValid(worker *worker, order order) bool {
-	if order.Ticket == "" {
-		// Only the starts on a queue with a hint carry a ticket. The cases that use one check that below.
+	if !cell.ticketed {
 		return true
 	}
 	return cell.advisers[0].valid(worker, order.Task[:strings.LastIndexByte(order.Task, '.')], order.Ticket)
@@ -299,10 +305,8 @@
 	known := cell.taskHistory(run.task)
 	known.running++
 	known.runs++
-	known.started = run.start
-	if known.firstRun.IsZero() {
-		known.firstRun = run.start
-	}
+	known.starts = append(known.starts, run.start)
+	cell.used[worker.service] += run.step.CPU
 	if run.step.Gang > 0 {
 		cell.joinGang(run)
 	}
@@ -319,7 +323,7 @@
 	known := cell.taskHistory(run.task)
 	known.running--
 	known.ends[how]++
-	known.lastEnd = time.Now()
+	cell.used[worker.service] -= run.step.CPU
 	cell.record.add("%s ends %s run %d: %s", worker.id, run.task, run.number, how)
 }
 
@@ -333,9 +337,28 @@
 		ends[how] = count
 	}
 	known.ends = ends
+	known.starts = append([]time.Time{}, known.starts...)
 	return known
 }
 
+// startedAfter returns the first start later than a time, or the zero time.
+func (history *history) startedAfter(earlier time.Time) time.Time {
+	for _, start := range history.starts {
+		if start.After(earlier) {
+			return start
+		}
+	}
+	return time.Time{}
+}
+
+// lastStart returns the time of the last start, or the zero time.
+func (history *history) lastStart() time.Time {
+	if len(history.starts) == 0 {
+		return time.Time{}
+	}
+	return history.starts[len(history.starts)-1]
+}
+
 // runningTasks counts the tasks of a job that run.
 func (cell *cell) runningTasks(job string) int {
 	cell.mutex.Lock()
--- a/review/_harness-3/client.go
+++ b/review/_harness-3/client.go
@@ -58,6 +58,7 @@
 func (cell *cell) state(path string) string {
 	for attempt := range len(cell.instances) {
 		status, body := cell.call(http.MethodGet, attempt, path, nil, callTimeout)
+		cell.record.add("GET %s at instance %d: %d %s", path, attempt, status, body)
 		var answer struct{ State string }
 		if status == http.StatusOK && json.Unmarshal(body, &answer) == nil {
 			return answer.State
--- a/review/_harness-3/jobs.go
+++ b/review/_harness-3/jobs.go
@@ -30,7 +30,7 @@
 // lastingJob is a job with tasks that last.
 func lastingJob(count int, cpu int64) job {
 	return job{
-		Spec: work{Steps: []stepWork{{}}}.spec(),
+		Spec: work{Steps: []stepWork{{CPU: cpu}}}.spec(),
 		Steps: []step{{
 			Count:     count,
 			CPU:       cpu,
@@ -44,6 +44,7 @@
 func batchJob(count int, cpu int64, runTime time.Duration, gang bool) job {
 	taskWork := stepWork{
 		Milliseconds: int(runTime.Milliseconds()),
+		CPU:          cpu,
 	}
 	if gang {
 		taskWork.Gang = count
--- a/review/_harness-3/lasting.go
+++ b/review/_harness-3/lasting.go
@@ -79,17 +79,16 @@
 	var longest time.Duration
 	for _, task := range lostTasks {
 		known := cell.seen(task)
-		away := known.started.Sub(lostAt)
-		switch {
-		case !trouble:
+		if !trouble {
 			if known.runs > 1 {
 				late++
 			}
 			continue
-		case known.started.Before(lostAt):
+		}
+		away := time.Since(lostAt)
+		if again := known.startedAfter(lostAt); again.IsZero() {
 			never++
-			away = time.Since(lostAt)
-		case away > lastingGrace+lastingSpan:
+		} else if away = again.Sub(lostAt); away > lastingGrace+lastingSpan {
 			late++
 		}
 		longest = max(longest, away)
--- a/review/_harness-3/main.go
+++ b/review/_harness-3/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +32,9 @@
 	"rack":     rackCase,
 }
 
+// cleanUp ends the instances of the cell, if there is one, and removes its folder.
+var cleanUp = func() {}
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
@@ -40,11 +45,21 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(int(couldNot))
 	}
-	time.AfterFunc(maxTime, func() {
-		record.tell("the case took too long")
+	stop := func(reason string) {
+		record.tell("%s", reason)
+		cleanUp()
 		record.close()
 		os.Exit(int(couldNot))
+	}
+	time.AfterFunc(maxTime, func() {
+		stop("the case took too long")
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		stop("the case was stopped")
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.tell("case %s, trouble %v", os.Args[1], trouble)
 	result := cases[os.Args[1]](record, trouble)
--- a/review/_harness-3/memory.go
+++ b/review/_harness-3/memory.go
@@ -117,22 +117,22 @@
 		}
 	}
 	record.tell("%d of %d jobs of %d steps accepted, each with a body of %d bytes", acceptedLarge, largeJobs, steps, len(large))
-	var accepted []string
+	var accepted []waitingJob
 	for number := range ordinary {
 		id := jobID(1 + number)
 		if cell.submit("/credit/"+id, batchJob(2, 1000, taskRun, false)) == http.StatusOK {
-			accepted = append(accepted, id)
+			accepted = append(accepted, waitingJob{id: id, tasks: 2, need: 2000})
 		}
 	}
 	record.tell("%d of %d ordinary jobs accepted; nothing else comes", len(accepted), ordinary)
 	if len(accepted) == 0 {
 		return couldNot
 	}
-	time.Sleep(watching)
+	standing := cell.watch(service, time.Now(), watching, accepted)
 	notRun := 0
-	for _, id := range accepted {
-		runs := cell.runs(id)
-		record.add("job %s: %d runs, state %s", id, runs, cell.state("/credit/"+id))
+	for _, job := range accepted {
+		runs := cell.runs(job.id)
+		record.add("job %s: %d runs, state %s", job.id, runs, cell.state("/credit/"+job.id))
 		if runs == 0 {
 			notRun++
 		}
@@ -146,9 +146,10 @@
 		}
 		instance.mutex.Unlock()
 	}
-	record.tell("%d of the %d ordinary jobs that were accepted have had nothing running for %.0f s; %d of %d instances were killed three times or more",
+	record.tell("%d of the %d ordinary jobs that were accepted had no run within %.0f s; %d of %d instances were killed three times or more",
 		notRun, len(accepted), watching.Seconds(), overloaded, len(cell.instances))
-	if notRun > 0 {
+	if len(standing) > 0 {
+		record.tell("%d of them had nothing running for 3 s on end, with capacity for them twice over and under half of the service in use", len(standing))
 		return broken
 	}
 	return held
@@ -160,6 +161,7 @@
 	spec, _ := json.Marshal(work{
 		Steps: []stepWork{{
 			Milliseconds: int(taskRun.Milliseconds()),
+			CPU:          100,
 		}},
 	}.spec())
 	fmt.Fprintf(&text, `{"spec":%s,"steps":[`, spec)
--- a/review/_harness-3/rack.go
+++ b/review/_harness-3/rack.go
@@ -73,13 +73,11 @@
 		return couldNot
 	}
 	sent := time.Now()
-	for time.Since(sent) < watching && cell.runs(id) == 0 {
-		time.Sleep(20 * time.Millisecond)
-	}
-	waited := time.Since(sent)
-	record.tell("%d of %d cores are in use, all by tasks that last; the gang of %d cores had nothing running for %.1f s after it was accepted, its state: %s",
-		used, up*cores, members, waited.Seconds(), cell.state("/assay/"+id))
-	if waited > finish+standstill {
+	standing := cell.watch(service, sent, watching, []waitingJob{{id: id, tasks: members, need: members * 1000}})
+	record.tell("%d of %d cores were in use as the gang of %d cores came; %d runs of it were started within %.0f s; its state: %s",
+		used, up*cores, members, cell.runs(id), watching.Seconds(), cell.state("/assay/"+id))
+	if len(standing) > 0 {
+		record.tell("it had nothing running for 3 s on end, with capacity for it twice over and under half of its service in use")
 		return broken
 	}
 	return held
--- a/review/_harness-3/record.go
+++ b/review/_harness-3/record.go
@@ -18,7 +18,7 @@
 }
 
 // maxRecordLines bounds the record; a case with thousands of calls leaves out the later ones.
-const maxRecordLines = 20000
+const maxRecordLines = 100000
 
 func newRecord(path string) (*record, error) {
 	file, err := os.Create(path)
--- a/review/_harness-3/services.go
+++ b/review/_harness-3/services.go
@@ -4,13 +4,6 @@
 	"time"
 )
 
-const (
-	// finish is finish_s, the time after the end of the traffic from which a job must not stand still, and standstill how
-	// long it may have nothing running from then on.
-	finish     = 14 * time.Second
-	standstill = 3 * time.Second
-)
-
 // servicesCase sends large jobs to one service at once, as a burst, and one small job to another service whose workers are
 // all idle. The second one has to be run.
 func servicesCase(record *record, trouble bool) verdict {
@@ -71,20 +64,10 @@
 	}
 	sent := time.Now()
 	record.tell("the last job was sent; nothing else comes")
-	time.Sleep(finish)
-	// From here on a job must not have nothing running for 3 s while less than half of its service is in use.
-	for time.Since(sent) < 55*time.Second && cell.runs(small) == 0 {
-		time.Sleep(20 * time.Millisecond)
-	}
-	waited := time.Since(sent)
-	for _, task := range []string{small + ".0.0.0", small + ".0.0.1"} {
-		if known := cell.seen(task); known.runs > 0 {
-			waited = min(waited, known.firstRun.Sub(sent))
-		}
-	}
-	record.tell("the small job had nothing running for %.1f s after it was accepted, %d runs were started since; its service was idle", waited.Seconds(), cell.runs(small))
-	record.tell("its state: %s", cell.state("/credit/"+small))
-	if waited > finish+standstill {
+	standing := cell.watch(billing, sent, 50*time.Second, []waitingJob{{id: small, tasks: 2, need: 2000}})
+	record.tell("%d runs of the small job were started within 50 s; its state: %s", cell.runs(small), cell.state("/credit/"+small))
+	if len(standing) > 0 {
+		record.tell("it had nothing running for 3 s on end, with capacity for it twice over and under half of its service in use")
 		return broken
 	}
 	return held
--- a/review/_harness-3/takeover.go
+++ b/review/_harness-3/takeover.go
@@ -64,8 +64,11 @@
 	late := 0
 	for _, task := range lostTasks {
 		known := cell.seen(task)
-		away := known.started.Sub(lostAt)
-		if away > latest || known.started.Before(lostAt) {
+		away := time.Since(lostAt)
+		if again := known.startedAfter(lostAt); !again.IsZero() {
+			away = again.Sub(lostAt)
+		}
+		if away > latest {
 			late++
 		}
 		record.tell("%s ran again after %.1f s", task, away.Seconds())
--- a/review/_harness-3/worker.go
+++ b/review/_harness-3/worker.go
@@ -33,6 +33,8 @@
 
 type stepWork struct {
 	Milliseconds int
+	// CPU is what a task takes up, in thousandths of a core.
+	CPU int64 `json:",omitempty"`
 	// Gang is the number of tasks of a gang, which work only together.
 	Gang int `json:",omitempty"`
 }
@@ -47,7 +49,6 @@
 	task   string
 	number int
 	step   stepWork
-	cpu    int64
 	start  time.Time
 	// workFrom is when a gang had all its members, zero before; broken means that another member has ended. The mutex of
 	// the cell guards both, and gone.
@@ -265,7 +266,8 @@
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
 	if worker.lost {
-		return http.StatusServiceUnavailable, nil, false
+		// The process is gone, which closes its connections without an answer.
+		panic(http.ErrAbortHandler)
 	}
 	worker.endDue()
 	body = map[string]any{
