persister: clear the inbox of an ID that is used again

A job under the ID of an earlier one, whose record had expired, could run once more under a later leader, long after it had ended.

Cause: the final record of a job removes its description and its cancellation, once for each ID. That note was dropped only when the removal of the record was answered. If the answer was lost and the ID used before the removal was repeated, the next final record left the inbox as it was. When that record expired too, the next leader took the description for a new job.

Change: a write that failed since there is no record any more drops the note. The store in memory of the tests executes removals now.

Evidence: TestReusedID fails without the change ("cancellation is still in the store") and passes with it.

--- a/internal/cell/persister/persister.go
+++ b/internal/cell/persister/persister.go
@@ -271,7 +271,12 @@
 		}
 		// An earlier write of this leader took effect although its response was lost.
 		for _, record := range result.records {
-			persister.revisions[record.id] = conflict.Revision(RecordPrefix + string(record.id))
+			revision := conflict.Revision(RecordPrefix + string(record.id))
+			persister.revisions[record.id] = revision
+			if revision == 0 {
+				// Without the record the ID was free, so that there may be a new description or cancellation.
+				delete(persister.inboxCleared, record.id)
+			}
 		}
 	default:
 		persister.reportFailure(len(result.records), result.err)
--- a/internal/cell/persister/persister_test.go
+++ b/internal/cell/persister/persister_test.go
@@ -86,6 +86,9 @@
 			Revision: faultyStore.revision,
 		}
 	}
+	for _, key := range change.Remove {
+		delete(faultyStore.values, key)
+	}
 	return faultyStore.revision, nil
 }
 
@@ -339,3 +342,81 @@
 		synctest.Wait()
 	})
 }
+
+// endedSource is a source of one job that has ended, and whose record is removed once its retention is over.
+type endedSource struct {
+	countingSource
+
+	expired bool
+}
+
+func (endedSource *endedSource) Encode(id describer.JobID) ([]byte, int64, bool, error) {
+	record, generation, _, err := endedSource.countingSource.Encode(id)
+	endedSource.mutex.Lock()
+	defer endedSource.mutex.Unlock()
+	if endedSource.expired {
+		record = nil
+	}
+	return record, generation, true, err
+}
+
+// TestReusedID guards against a cancellation or a description that stays in the store for good since its ID was that of an
+// earlier job, the removal of whose record was not answered. A description without a record would be run by the next leader.
+func TestReusedID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const id = "a"
+		store := newFaultyStore()
+		source := &endedSource{
+			countingSource: countingSource{
+				dirty:   map[describer.JobID]bool{},
+				changes: map[describer.JobID]int64{},
+				stored:  map[describer.JobID]int64{},
+			},
+		}
+		persister := New(store, source, leadership)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			// The test ends it.
+			_ = persister.Run(ctx)
+		}()
+		change := func() {
+			source.change(id)
+			persister.Wake()
+			time.Sleep(time.Second)
+		}
+		change()
+		source.expired = true
+		// The record is removed, and its ID used again before the removal is repeated.
+		store.outcomes = []commitOutcome{answerLost}
+		source.change(id)
+		persister.Wake()
+		for {
+			time.Sleep(time.Millisecond)
+			store.mutex.Lock()
+			_, found := store.values[RecordPrefix+id]
+			if !found {
+				store.values[CancelPrefix+id] = describer.Item{
+					Key:      CancelPrefix + id,
+					Revision: store.revision,
+				}
+			}
+			store.mutex.Unlock()
+			if !found {
+				break
+			}
+		}
+		source.expired = false
+		change()
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		if _, found := store.values[RecordPrefix+id]; !found {
+			t.Error("record is not stored")
+		}
+		if _, found := store.values[CancelPrefix+id]; found {
+			t.Error("cancellation is still in the store")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
