--- a/integration/cell/cell_test.go
+++ b/integration/cell/cell_test.go
@@ -264,10 +264,15 @@
 
 // callWithKey makes a call with a key. An empty key is left out.
 func (cell *cell) callWithKey(key, method string, instance int, path string, body any) answer {
+	return cell.callWith(method, instance, path, body, authorizations(key)...)
+}
+
+// authorizations returns the Authorization headers of a call with a key; none for an empty key.
+func authorizations(key string) []string {
 	if key == "" {
-		return cell.callWith(method, instance, path, body)
+		return nil
 	}
-	return cell.callWith(method, instance, path, body, "Bearer "+key)
+	return []string{"Bearer " + key}
 }
 
 // answer is a response to a caller. Its status is 0 without one.
@@ -279,6 +284,11 @@
 
 // callWith makes a call with Authorization headers.
 func (cell *cell) callWith(method string, instance int, path string, body any, authorizations ...string) answer {
+	return cell.callUntil(context.Background(), method, instance, path, body, authorizations...)
+}
+
+// callUntil makes a call with Authorization headers whose caller leaves when ctx is done.
+func (cell *cell) callUntil(ctx context.Context, method string, instance int, path string, body any, authorizations ...string) answer {
 	var encoded []byte
 	if body != nil {
 		var err error
@@ -287,7 +297,7 @@
 			return answer{}
 		}
 	}
-	request, err := http.NewRequest(method, "http://"+cell.site.Front(instance).String()+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+cell.site.Front(instance).String()+path, bytes.NewReader(encoded))
 	if err != nil {
 		cell.t.Error(err)
 		return answer{}
--- a/integration/cell/soak_test.go
+++ b/integration/cell/soak_test.go
@@ -35,8 +35,8 @@
 var regressionSeeds = []uint64{7, 11, 16, 22, 33, 412, 455}
 
 // shortSeeds are run in CI in addition to the regression seeds. Seeds 434 and 450 have the most of the faults that
-// come from firstDivertedSeed on.
-var shortSeeds = []uint64{1, 2, firstHarmfulSeed, lastHarmfulSeed + 1, 434, 450, firstKeyedSeed}
+// come from firstDivertedSeed on, and 805 has many callers that leave while the store executes writes late.
+var shortSeeds = []uint64{1, 2, firstHarmfulSeed, lastHarmfulSeed + 1, 434, 450, firstKeyedSeed, 805}
 
 const (
 	// firstHarmfulSeed is the first of the seeds with tasks that crash their workers, and with capacities that shrink and
@@ -105,8 +105,10 @@
 	// config changes the configuration meanwhile; nil in earlier seeds.
 	config *configSoak
 	// keyed means that the callers belong to organisations.
-	keyed  bool
-	faults []fault
+	keyed bool
+	// leaving means that some callers leave before their job is answered, and cancel it.
+	leaving bool
+	faults  []fault
 
 	mutex sync.Mutex
 	jobs  []*soakJob
@@ -125,6 +127,8 @@
 	cancelled bool
 	// crashes means that a task of the job crashes its workers.
 	crashes bool
+	// left is the end of the job for a caller that left; nil for others.
+	left *leftJob
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -143,8 +147,12 @@
 		faults:  faults,
 		faulty:  map[string]bool{},
 	}
+	if seed >= firstLeavingSeed {
+		soak.leaving = true
+		soak.faults = slices.Concat(faults, lateFaults)
+	}
 	if seed >= firstDivertedSeed {
-		soak.faults = slices.Concat(faults, divertedFaults)
+		soak.faults = slices.Concat(soak.faults, divertedFaults)
 		soak.config = &configSoak{
 			soak: soak,
 		}
@@ -168,6 +176,11 @@
 			soak.submitCrowds(stop)
 		})
 	}
+	if soak.leaving {
+		group.Go(func() {
+			soak.submitAndLeave(stop)
+		})
+	}
 	if soak.keyed {
 		soak.cell.site.RunRecorder.SetCapGrace(soakCapGrace)
 		soak.cell.endLapsedRuns()
@@ -178,9 +191,11 @@
 		})
 	}
 	soak.injectFaults()
+	faultsEnded := time.Now()
 	close(stop)
 	group.Wait()
 	soak.checkOutcomes()
+	soak.checkLeftJobs(faultsEnded)
 }
 
 // changeCapacities shrinks the workers in turn and lets them grow again. Those that shrink stay so for several rounds.
--- a/internal/cell/admitter/admitter.go
+++ b/internal/cell/admitter/admitter.go
@@ -68,6 +68,8 @@
 	FailClosed func() bool
 	// CapOverage, if set, returns the share by which a gang may exceed the cap of its organisation.
 	CapOverage func() float64
+	// StatusRetention, if set, returns how long the state of an ended job can be queried.
+	StatusRetention func() time.Duration
 	// State and Pending query the leader at an address.
 	State   func(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobStatus, error)
 	Pending func(ctx context.Context, address netip.AddrPort, queue string) (int, error)
@@ -240,18 +242,10 @@
 			RetryAfter: retryAfter,
 		}
 	}
-	key, recordKey := persister.JobPrefix+string(job.ID), persister.RecordPrefix+string(job.ID)
 	change := describer.Change{
-		Expect: []describer.Expectation{
-			{
-				Key: key,
-			},
-			{
-				Key: recordKey,
-			},
-		},
+		Expect: expectUnused(job.ID),
 		Writes: []describer.Write{{
-			Key:   key,
+			Key:   persister.JobPrefix + string(job.ID),
 			Value: value,
 		}},
 	}
@@ -261,12 +255,15 @@
 	err = admitter.commit(ctx, change, postponer.Objective(job, job.Policy))
 	var conflict *describer.ConflictError
 	if errors.As(err, &conflict) {
-		if route.Condition != nil && conflict.Revision(key) == 0 && conflict.Revision(recordKey) == 0 {
+		if route.Condition != nil && isUnused(conflict, job.ID) {
 			// No attempt was executed, and none can be later, since the condition will not hold again.
 			return rejectedForConfig("configuration has changed")
 		}
-		// The job was already stored, by an earlier attempt of this call or by an earlier call.
-		return checkOwner(route, conflict)
+		if err := checkOwner(route, conflict); err != nil {
+			return err
+		}
+		// Unless it was cancelled before, the job was already stored, by an earlier attempt of this call or by an earlier call.
+		return admitter.checkUnsubmitted(conflict, job.ID)
 	}
 	if err == nil {
 		admitter.announce(value, "")
@@ -333,67 +330,6 @@
 	}
 }
 
-// Cancel stores a cancellation. The leader then cancels the job. A job of another organisation counts as unknown.
-func (admitter *Admitter) Cancel(ctx context.Context, route describer.Route, id describer.JobID) (err error) {
-	start := time.Now()
-	defer func() {
-		admitter.reportCall(CallResult{
-			Call:         "Cancel",
-			Job:          id,
-			Organisation: route.Organisation,
-		}, start, err)
-	}()
-	key := persister.JobPrefix + string(id)
-	for {
-		job, err := admitter.read(ctx, key)
-		if errors.Is(err, describer.ErrNotFound) {
-			return admitter.checkEnded(ctx, route, id)
-		}
-		if err != nil {
-			return err
-		}
-		if !route.MaySee(ownerOf(job.Value)) {
-			return describer.ErrNoJob
-		}
-		change := describer.Change{
-			Expect: []describer.Expectation{{
-				Key:      key,
-				Revision: job.Revision,
-			}},
-			Writes: []describer.Write{{
-				Key:   persister.CancelPrefix + string(id),
-				Value: []byte("{}"),
-			}},
-		}
-		if route.Condition != nil && route.Organisation != "" {
-			// The key may have been removed.
-			change.Expect = append(change.Expect, *route.Condition)
-		}
-		err = admitter.commit(ctx, change, retryAfter)
-		var conflict *describer.ConflictError
-		if err == nil {
-			admitter.announce(nil, id)
-		}
-		if !errors.As(err, &conflict) {
-			return err
-		}
-		if conflict.Revision(key) == job.Revision {
-			return rejectedForConfig("configuration has changed")
-		}
-		// The job ended after its description was read.
-	}
-}
-
-// checkEnded returns nil if the job has a record, that is, if it has ended, and ErrNoJob if it is unknown the caller may
-// not see it.
-func (admitter *Admitter) checkEnded(ctx context.Context, route describer.Route, id describer.JobID) error {
-	record, err := admitter.read(ctx, persister.RecordPrefix+string(id))
-	if errors.Is(err, describer.ErrNotFound) || err == nil && !route.MaySee(ownerOf(record.Value)) {
-		return describer.ErrNoJob
-	}
-	return err
-}
-
 // Pending returns the number of jobs of a queue that have not started, as reported by the leader. It retries
 // until the caller's deadline.
 func (admitter *Admitter) Pending(ctx context.Context, queue string) (count int, err error) {
--- a/internal/cell/admitter/organisations_test.go
+++ b/internal/cell/admitter/organisations_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -172,13 +173,40 @@
 			if errors.Is(err, describer.ErrNoJob) != hidden || !hidden && err != nil {
 				t.Errorf("cancellation of %s for %q: %v", id, organisation, err)
 			}
-			if hidden && store.commits > 0 {
+			switch {
+			case id == "none":
+				checkUnsubmittedCancellation(t, store, id, organisation)
+			case hidden && store.commits > 0:
 				t.Errorf("cancellation of %s for %q was stored", id, organisation)
 			}
 		}
 	}
 }
 
+// checkUnsubmittedCancellation checks that the one change of store says that an unknown job was cancelled by organisation, and
+// that it takes no effect on a job that there is.
+func checkUnsubmittedCancellation(t *testing.T, store *fakeStore, id describer.JobID, organisation string) {
+	t.Helper()
+	change := store.change
+	if store.commits != 1 || len(change.Writes) != 1 || len(change.Remove) > 0 {
+		t.Fatalf("cancellation of %s for %q: %d changes, the last one %+v", id, organisation, store.commits, change)
+	}
+	want := persister.Cancellation{
+		Unsubmitted:  true,
+		Organisation: organisation,
+	}
+	if got := persister.ParseCancellation(change.Writes[0].Value); change.Writes[0].Key != persister.CancelPrefix+string(id) || got != want {
+		t.Errorf("cancellation of %s for %q: %s under %s", id, organisation, change.Writes[0].Value, change.Writes[0].Key)
+	}
+	for _, prefix := range []string{persister.JobPrefix, persister.RecordPrefix, persister.CancelPrefix} {
+		if !slices.Contains(change.Expect, describer.Expectation{
+			Key: prefix + string(id),
+		}) {
+			t.Errorf("cancellation of %s for %q does not expect that %s is free", id, organisation, prefix)
+		}
+	}
+}
+
 // endingStore is a store in which a job of north ends after its record was read first.
 type endingStore struct {
 	fakeStore
--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -165,6 +165,9 @@
 		CapOverage: func() float64 {
 			return instance.bounds().CapOverage
 		},
+		StatusRetention: func() time.Duration {
+			return instance.bounds().StatusRetention
+		},
 	})
 	instance.elector = elector.New(elector.Options{
 		Store: instance.store,
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -290,11 +290,18 @@
 // handleCancellations cancels the jobs that have a cancellation among items.
 func (leader *Leader) handleCancellations(now time.Time, items []describer.Item) {
 	for _, item := range items {
-		if !item.Deleted && strings.HasPrefix(item.Key, persister.CancelPrefix) {
-			leader.contain(item.Key, func() {
-				leader.scheduler.Cancel(now, describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix)))
-			})
+		if item.Deleted || !strings.HasPrefix(item.Key, persister.CancelPrefix) {
+			continue
 		}
+		id := describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix))
+		cancellation := persister.ParseCancellation(item.Value)
+		leader.contain(item.Key, func() {
+			if cancellation.Unsubmitted {
+				leader.scheduler.CancelUnsubmitted(now, id, cancellation.Organisation)
+			} else {
+				leader.scheduler.Cancel(now, id)
+			}
+		})
 	}
 }
 
--- a/internal/cell/scheduler/states.go
+++ b/internal/cell/scheduler/states.go
@@ -2,11 +2,12 @@
 
 import "pomelomoor/internal/cell/describer"
 
-// State returns the state of a job as shown to callers. A final state is shown only when it is durable.
+// State returns the state of a job as shown to callers. A final state is shown only when it is durable. A job that was
+// cancelled before it was submitted is unknown.
 func (scheduler *Scheduler) State(id describer.JobID) describer.JobState {
 	job := scheduler.jobs[id]
 	switch {
-	case job == nil:
+	case job == nil || job.unsubmitted:
 		return describer.JobUnknown
 	case job.state.Final() && job.storedGeneration < job.finalGeneration:
 		return describer.JobRunning
