--- a/internal/cell/persister/persister_test.go
+++ b/internal/cell/persister/persister_test.go
@@ -385,10 +385,17 @@
 			persister.Wake()
 			time.Sleep(time.Second)
 		}
+		expire := func(expired bool) {
+			source.mutex.Lock()
+			defer source.mutex.Unlock()
+			source.expired = expired
+		}
 		change()
-		source.expired = true
+		expire(true)
 		// The record is removed, and its ID used again before the removal is repeated.
+		store.mutex.Lock()
 		store.outcomes = []commitOutcome{answerLost}
+		store.mutex.Unlock()
 		source.change(id)
 		persister.Wake()
 		for {
@@ -406,7 +413,7 @@
 				break
 			}
 		}
-		source.expired = false
+		expire(false)
 		change()
 		store.mutex.Lock()
 		defer store.mutex.Unlock()
