admitter, withdrawer: withdrawals of their own in place of records of unknown jobs

What callers saw: since a caller could keep the job of another organisation from being handed in (409) by cancelling its ID first, and cancellations of unknown jobs cost the leader an entry in memory, a record and a second write each, without a limit.

Cause: the cancellation of an unknown job stood under the one key that all organisations and the leader use for the job.

Change: it is a withdrawal now, withdrawn/ID/ORGANISATION, on the condition that there is neither a job nor a record. A submission expects that its own organisation has none. The leader is not told of it; a sweeper removes withdrawals of two to three minutes, whose age follows from revisions of the store, since clocks may jump. An instance stores at most its part of a tenth of the store's writes for each organisation; beyond that the caller is told to come back (429). What changed in the scheduler, the records and the states goes back.

--- a/internal/cell/admitter/admitter.go
+++ b/internal/cell/admitter/admitter.go
@@ -18,6 +18,7 @@
 	"pomelomoor/internal/cell/postponer"
 	"pomelomoor/internal/cell/refresher"
 	"pomelomoor/internal/cell/watcher"
+	"pomelomoor/internal/cell/withdrawer"
 )
 
 const (
@@ -68,8 +69,8 @@
 	FailClosed func() bool
 	// CapOverage, if set, returns the share by which a gang may exceed the cap of its organisation.
 	CapOverage func() float64
-	// StatusRetention, if set, returns how long the state of an ended job can be queried.
-	StatusRetention func() time.Duration
+	// MaxWithdrawals, if set, returns how many withdrawals a second the callers of an organisation may have stored.
+	MaxWithdrawals func() float64
 	// State and Pending query the leader at an address.
 	State   func(ctx context.Context, address netip.AddrPort, id describer.JobID) (describer.JobStatus, error)
 	Pending func(ctx context.Context, address netip.AddrPort, queue string) (int, error)
@@ -104,7 +105,8 @@
 type Admitter struct {
 	options Options
 
-	stopping atomic.Bool
+	stopping    atomic.Bool
+	withdrawals withdrawalLimits
 }
 
 var _ describer.Frontend = (*Admitter)(nil)
@@ -243,7 +245,9 @@
 		}
 	}
 	change := describer.Change{
-		Expect: expectUnused(job.ID),
+		Expect: append(expectNoJob(job.ID), describer.Expectation{
+			Key: withdrawer.Key(job.ID, route.Organisation),
+		}),
 		Writes: []describer.Write{{
 			Key:   persister.JobPrefix + string(job.ID),
 			Value: value,
@@ -255,15 +259,7 @@
 	err = admitter.commit(ctx, change, postponer.Objective(job, job.Policy))
 	var conflict *describer.ConflictError
 	if errors.As(err, &conflict) {
-		if route.Condition != nil && isUnused(conflict, job.ID) {
-			// No attempt was executed, and none can be later, since the condition will not hold again.
-			return rejectedForConfig("configuration has changed")
-		}
-		if err := checkOwner(route, conflict); err != nil {
-			return err
-		}
-		// Unless it was cancelled before, the job was already stored, by an earlier attempt of this call or by an earlier call.
-		return admitter.checkUnsubmitted(conflict, job.ID)
+		return checkConflict(route, job.ID, conflict)
 	}
 	if err == nil {
 		admitter.announce(value, "")
@@ -271,6 +267,23 @@
 	return err
 }
 
+// checkConflict returns the outcome of a submission whose expectations did not hold.
+func checkConflict(route describer.Route, id describer.JobID, conflict *describer.ConflictError) error {
+	switch {
+	case isStored(conflict, id):
+	case conflict.Revision(withdrawer.Key(id, route.Organisation)) != 0:
+		return &describer.RejectedError{
+			Reason:     "job was cancelled before it was submitted",
+			RetryAfter: withdrawer.Retention,
+		}
+	case route.Condition != nil:
+		// No attempt was executed, and none can be later, since the condition will not hold again.
+		return rejectedForConfig("configuration has changed")
+	}
+	// The job was already stored, by an earlier attempt of this call or by an earlier call.
+	return checkOwner(route, conflict)
+}
+
 // announce notifies the leader of a job or a cancellation in the background. The leader also watches the
 // store, so a lost announcement only causes a delay.
 func (admitter *Admitter) announce(job []byte, cancelled describer.JobID) {
--- a/internal/cell/admitter/cancel.go
+++ b/internal/cell/admitter/cancel.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
-	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
 
 	"pomelomoor/internal/cell/describer"
 	"pomelomoor/internal/cell/persister"
+	"pomelomoor/internal/cell/withdrawer"
 )
 
-// expectUnused returns what holds in the store while there is no job of an ID, no record of one and no cancellation. It
-// fails for a change that the store executes late, after one of them was stored.
-func expectUnused(id describer.JobID) []describer.Expectation {
+const (
+	// withdrawalBurst is the number of withdrawals that the callers of an organisation may have stored at once.
+	withdrawalBurst = 20
+	// withdrawalRetryAfter is the retry delay of a caller beyond that. It is the shortest that HTTP can tell.
+	withdrawalRetryAfter = time.Second
+)
+
+// expectNoJob returns what holds in the store while there is neither a job with an ID nor a record of one.
+func expectNoJob(id describer.JobID) []describer.Expectation {
 	return []describer.Expectation{
 		{
 			Key: persister.JobPrefix + string(id),
@@ -21,42 +29,12 @@
 		{
 			Key: persister.RecordPrefix + string(id),
 		},
-		{
-			Key: persister.CancelPrefix + string(id),
-		},
-	}
-}
-
-// isUnused reports whether a change failed although all of expectUnused held.
-func isUnused(conflict *describer.ConflictError, id describer.JobID) bool {
-	for _, expectation := range expectUnused(id) {
-		if conflict.Revision(expectation.Key) != expectation.Revision {
-			return false
-		}
 	}
-	return true
 }
 
-// checkUnsubmitted returns a RejectedError if a submission failed since its job had been cancelled before.
-func (admitter *Admitter) checkUnsubmitted(conflict *describer.ConflictError, id describer.JobID) error {
-	if conflict.Revision(persister.JobPrefix+string(id)) != 0 {
-		return nil
-	}
-	for _, item := range conflict.Items {
-		// Records and cancellations tell it in the same way.
-		if !persister.ParseCancellation(item.Value).Unsubmitted {
-			continue
-		}
-		rejected := &describer.RejectedError{
-			Reason:     "job was cancelled before it was submitted",
-			RetryAfter: retryAfter,
-		}
-		if admitter.options.StatusRetention != nil {
-			rejected.RetryAfter = max(retryAfter, admitter.options.StatusRetention())
-		}
-		return rejected
-	}
-	return nil
+// isStored reports whether a change failed with a job or a record of one in the store.
+func isStored(conflict *describer.ConflictError, id describer.JobID) bool {
+	return conflict.Revision(persister.JobPrefix+string(id)) != 0 || conflict.Revision(persister.RecordPrefix+string(id)) != 0
 }
 
 // Cancel stores a cancellation. The leader then cancels the job. A job of another organisation counts as unknown.
@@ -74,7 +52,7 @@
 		var done bool
 		switch {
 		case errors.Is(err, describer.ErrNotFound):
-			done, err = admitter.cancelWithoutJob(ctx, route, id)
+			done, err = admitter.withdraw(ctx, route, id)
 		case err == nil:
 			done, err = admitter.cancelJob(ctx, route, id, job)
 		}
@@ -90,7 +68,7 @@
 	if !route.MaySee(ownerOf(job.Value)) {
 		return true, describer.ErrNoJob
 	}
-	err = admitter.commitCancellation(ctx, route, id, persister.Cancellation{}, describer.Expectation{
+	err = admitter.commitCancellation(ctx, route, persister.CancelPrefix+string(id), describer.Expectation{
 		Key:      job.Key,
 		Revision: job.Revision,
 	})
@@ -107,53 +85,45 @@
 	return false, nil
 }
 
-// cancelWithoutJob cancels a job that has no description in the store. It returns no error if the job has ended, and
-// ErrNoJob if there is none that the caller may see. A submission whose outcome is not known may still be on its way, as
-// the store may execute it late. So that it fails then, the cancellation of an unknown job is stored too. done is false if
-// the job has been submitted meanwhile, or has ended.
-func (admitter *Admitter) cancelWithoutJob(ctx context.Context, route describer.Route, id describer.JobID) (done bool, err error) {
+// withdraw cancels a job that has no description in the store. It returns no error if the job has ended, and ErrNoJob if
+// there is none that the caller may see. Unless the ID is in use, the withdrawal is stored before that, so that a
+// submission that is still on its way fails. done is false if a job was submitted meanwhile.
+func (admitter *Admitter) withdraw(ctx context.Context, route describer.Route, id describer.JobID) (done bool, err error) {
 	record, err := admitter.read(ctx, persister.RecordPrefix+string(id))
 	switch {
-	case err == nil && (!route.MaySee(ownerOf(record.Value)) || persister.ParseCancellation(record.Value).Unsubmitted):
+	case err == nil && !route.MaySee(ownerOf(record.Value)):
 		return true, describer.ErrNoJob
-	case err == nil:
-		return true, nil
-	case !errors.Is(err, describer.ErrNotFound):
+	case err == nil || !errors.Is(err, describer.ErrNotFound):
 		return true, err
+	case !admitter.mayWithdraw(route.Organisation):
+		return true, &describer.RejectedError{
+			Reason:     "too many cancellations of unknown jobs",
+			RetryAfter: withdrawalRetryAfter,
+			Overload:   true,
+		}
 	}
-	err = admitter.commitCancellation(ctx, route, id, persister.Cancellation{
-		Unsubmitted:  true,
-		Organisation: route.Organisation,
-	}, expectUnused(id)...)
+	// An earlier withdrawal is written again, since it may be about to be removed.
+	err = admitter.commitCancellation(ctx, route, withdrawer.Key(id, route.Organisation), expectNoJob(id)...)
 	var conflict *describer.ConflictError
 	switch {
 	case err == nil:
 		return true, describer.ErrNoJob
 	case !errors.As(err, &conflict):
 		return true, err
-	case isUnused(conflict, id):
-		return true, rejectedForConfig("configuration has changed")
-	case conflict.Revision(persister.JobPrefix+string(id)) == 0 && conflict.Revision(persister.RecordPrefix+string(id)) == 0:
-		// An earlier attempt or call has stored the cancellation.
-		return true, describer.ErrNoJob
+	case isStored(conflict, id):
+		return false, nil
 	}
-	return false, nil
+	return true, rejectedForConfig("configuration has changed")
 }
 
-// commitCancellation stores a cancellation while the expectations hold, and the configuration by which the call was routed
-// if a key that may have been removed came with it.
-func (admitter *Admitter) commitCancellation(ctx context.Context, route describer.Route, id describer.JobID,
-	cancellation persister.Cancellation, expectations ...describer.Expectation,
-) error {
-	value, err := json.Marshal(cancellation)
-	if err != nil {
-		return errors.Wrapf(err, "encode cancellation of %s", id)
-	}
+// commitCancellation writes a key while the expectations hold, and the configuration by which the call was routed if a key
+// of a caller that may have been removed came with it.
+func (admitter *Admitter) commitCancellation(ctx context.Context, route describer.Route, key string, expectations ...describer.Expectation) error {
 	change := describer.Change{
 		Expect: expectations,
 		Writes: []describer.Write{{
-			Key:   persister.CancelPrefix + string(id),
-			Value: value,
+			Key:   key,
+			Value: []byte("{}"),
 		}},
 	}
 	if route.Condition != nil && route.Organisation != "" {
@@ -161,3 +131,30 @@
 	}
 	return admitter.commit(ctx, change, retryAfter)
 }
+
+// mayWithdraw reports whether the callers of an organisation may have one more withdrawal stored now.
+func (admitter *Admitter) mayWithdraw(organisation string) bool {
+	return admitter.options.MaxWithdrawals == nil || admitter.withdrawals.allow(organisation, rate.Limit(admitter.options.MaxWithdrawals()))
+}
+
+// withdrawalLimits bounds the withdrawals of each organisation, so that those of one leave the store's writes to the calls
+// of all others.
+type withdrawalLimits struct {
+	mutex    sync.Mutex
+	limiters map[string]*rate.Limiter
+}
+
+func (withdrawalLimits *withdrawalLimits) allow(organisation string, limit rate.Limit) bool {
+	withdrawalLimits.mutex.Lock()
+	defer withdrawalLimits.mutex.Unlock()
+	limiter := withdrawalLimits.limiters[organisation]
+	if limiter == nil {
+		limiter = rate.NewLimiter(limit, withdrawalBurst)
+		if withdrawalLimits.limiters == nil {
+			withdrawalLimits.limiters = map[string]*rate.Limiter{}
+		}
+		withdrawalLimits.limiters[organisation] = limiter
+	}
+	limiter.SetLimit(limit)
+	return limiter.Allow()
+}
--- a/internal/cell/admitter/states.go
+++ b/internal/cell/admitter/states.go
@@ -73,18 +73,13 @@
 	return seenBy(route, jobRecord.Organisation, jobRecord.State)
 }
 
-// readRecord reads the record of a job. The error is ErrNoJob for a job that was cancelled before it was submitted.
 func (admitter *Admitter) readRecord(ctx context.Context, id describer.JobID) (scheduler.Record, error) {
 	item, err := admitter.read(ctx, persister.RecordPrefix+string(id))
 	if err != nil {
 		return scheduler.Record{}, err
 	}
 	// An error is logged with the answer to the caller.
-	record, err := scheduler.ParseRecord(item.Value)
-	if err == nil && record.Unsubmitted {
-		err = describer.ErrNoJob
-	}
-	return record, err
+	return scheduler.ParseRecord(item.Value)
 }
 
 // read reads a key and retries while the store is reachable and the caller's deadline allows it.
--- a/internal/cell/bootstrapper/bootstrapper.go
+++ b/internal/cell/bootstrapper/bootstrapper.go
@@ -165,9 +165,7 @@
 		CapOverage: func() float64 {
 			return instance.bounds().CapOverage
 		},
-		StatusRetention: func() time.Duration {
-			return instance.bounds().StatusRetention
-		},
+		MaxWithdrawals: instance.maxWithdrawals,
 	})
 	instance.elector = elector.New(elector.Options{
 		Store: instance.store,
--- a/internal/cell/bootstrapper/limits.go
+++ b/internal/cell/bootstrapper/limits.go
@@ -19,6 +19,10 @@
 	frontSocketShare = 4
 	peerSocketShare  = 8
 	probeSocketShare = 32
+	// maxWithdrawalShare is the share of the store's writes that withdrawals of one organisation may take at all instances
+	// together. minWithdrawals is the least for each instance, a second.
+	maxWithdrawalShare = 0.1
+	minWithdrawals     = 1
 	// limitsInterval is the interval at which the use of the limits is reported.
 	limitsInterval = time.Second
 )
@@ -58,3 +62,8 @@
 		}
 	}
 }
+
+// maxWithdrawals returns the number of withdrawals a second that this instance stores for each organisation.
+func (instance *Instance) maxWithdrawals() float64 {
+	return max(maxWithdrawalShare*instance.settings.WritesPerSecond/float64(max(len(instance.elector.View().Members), 1)), minWithdrawals)
+}
--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -19,6 +19,7 @@
 	"pomelomoor/internal/cell/persister"
 	"pomelomoor/internal/cell/scheduler"
 	"pomelomoor/internal/cell/watcher"
+	"pomelomoor/internal/cell/withdrawer"
 )
 
 const (
@@ -146,6 +147,16 @@
 	group.Go(func() error {
 		return leader.reportLoad(ctx)
 	})
+	group.Go(func() error {
+		sweeper := &withdrawer.Sweeper{
+			Store:      leader.options.Store,
+			Leadership: leader.term.LeaderKey,
+			OnFailure: func(err error) {
+				leader.options.Observer.EntryUnreadable("withdrawals", withdrawer.Prefix, err)
+			},
+		}
+		return errors.Wrap(sweeper.Run(ctx), "remove old withdrawals")
+	})
 	err = group.Wait()
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		return cause
@@ -290,18 +301,11 @@
 // handleCancellations cancels the jobs that have a cancellation among items.
 func (leader *Leader) handleCancellations(now time.Time, items []describer.Item) {
 	for _, item := range items {
-		if item.Deleted || !strings.HasPrefix(item.Key, persister.CancelPrefix) {
-			continue
+		if !item.Deleted && strings.HasPrefix(item.Key, persister.CancelPrefix) {
+			leader.contain(item.Key, func() {
+				leader.scheduler.Cancel(now, describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix)))
+			})
 		}
-		id := describer.JobID(strings.TrimPrefix(item.Key, persister.CancelPrefix))
-		cancellation := persister.ParseCancellation(item.Value)
-		leader.contain(item.Key, func() {
-			if cancellation.Unsubmitted {
-				leader.scheduler.CancelUnsubmitted(now, id, cancellation.Organisation)
-			} else {
-				leader.scheduler.Cancel(now, id)
-			}
-		})
 	}
 }
 
--- a/internal/cell/persister/persister.go
+++ b/internal/cell/persister/persister.go
@@ -18,7 +18,7 @@
 	InboxPrefix = "inbox/"
 	// JobPrefix is the prefix of the descriptions of jobs that have not ended.
 	JobPrefix = InboxPrefix + "job/"
-	// CancelPrefix is the prefix of the cancellations of jobs that have not ended, and of jobs that were not submitted.
+	// CancelPrefix is the prefix of the cancellations of jobs that have not ended.
 	CancelPrefix = InboxPrefix + "cancel/"
 	// RecordPrefix is the prefix of the job records.
 	RecordPrefix = "record/"
--- a/internal/cell/scheduler/record.go
+++ b/internal/cell/scheduler/record.go
@@ -22,9 +22,6 @@
 	Organisation string               `json:",omitempty"`
 	Ended        time.Time            `json:",omitzero"`
 	Held         descriptor.Resources `json:",omitzero"`
-	// Unsubmitted means that the job was cancelled before it was submitted, so that none may be submitted under its ID. Its
-	// caller was told that there is no such job.
-	Unsubmitted bool `json:",omitempty"`
 	// Policy is the policy that was last known, if that is not the one in the job's description.
 	Policy *describer.Policy `json:",omitempty"`
 	// Next is the first occurrence that was not due yet; Completed counts the finished occurrences.
@@ -101,7 +98,6 @@
 		record.Organisation = job.Organisation
 		record.Ended = job.endedAt
 		record.Held = job.held
-		record.Unsubmitted = job.unsubmitted
 		return record
 	}
 	record.Policy = job.recordedPolicy()
@@ -276,8 +272,6 @@
 		queue:   scheduler.statsFor(record.Queue),
 		state:   record.State,
 		endedAt: record.Ended,
-
-		unsubmitted: record.Unsubmitted,
 	}
 	scheduler.jobs[id] = job
 	scheduler.ended = append(scheduler.ended, job)
--- a/internal/cell/scheduler/scheduler.go
+++ b/internal/cell/scheduler/scheduler.go
@@ -163,8 +163,6 @@
 	endedAt         time.Time
 	// held is what runs of the job took up when it ended, if it belongs to an organisation.
 	held descriptor.Resources
-	// unsubmitted means that the job was cancelled before it was submitted.
-	unsubmitted bool
 }
 
 // occurrence is one execution of all steps of a job.
@@ -429,33 +427,6 @@
 	scheduler.finish(now, job, describer.JobCancelled, "cancelled by its caller")
 }
 
-// CancelUnsubmitted keeps jobs from being submitted under an ID for as long as the states of ended jobs are kept. A caller of
-// organisation has cancelled such a job and was told that there is none.
-func (scheduler *Scheduler) CancelUnsubmitted(now time.Time, id describer.JobID, organisation string) {
-	switch {
-	case scheduler.jobs[id] != nil:
-		// An instance of an earlier version, which does not look for the cancellation, has stored the job after it.
-		scheduler.Cancel(now, id)
-		return
-	case scheduler.setAside[id]:
-		return
-	}
-	scheduler.restoreEnded(id, Record{
-		State:        describer.JobCancelled,
-		Organisation: organisation,
-		Ended:        now,
-		Unsubmitted:  true,
-	})
-	job := scheduler.jobs[id]
-	scheduler.markDirty(job)
-	job.finalGeneration = job.generation
-	scheduler.emit(Event{
-		Kind:   EventJobEnded,
-		Job:    id,
-		Detail: describer.JobCancelled.String() + ": cancelled before it was submitted",
-	})
-}
-
 // finish moves job to a final state and stops its remaining runs.
 func (scheduler *Scheduler) finish(now time.Time, job *job, state describer.JobState, reason string) {
 	job.state = state
--- a/internal/cell/scheduler/states.go
+++ b/internal/cell/scheduler/states.go
@@ -2,12 +2,11 @@
 
 import "pomelomoor/internal/cell/describer"
 
-// State returns the state of a job as shown to callers. A final state is shown only when it is durable. A job that was
-// cancelled before it was submitted is unknown.
+// State returns the state of a job as shown to callers. A final state is shown only when it is durable.
 func (scheduler *Scheduler) State(id describer.JobID) describer.JobState {
 	job := scheduler.jobs[id]
 	switch {
-	case job == nil || job.unsubmitted:
+	case job == nil:
 		return describer.JobUnknown
 	case job.state.Final() && job.storedGeneration < job.finalGeneration:
 		return describer.JobRunning
