leader: ignore announcements of jobs that were submitted a minute ago

A job could run a second time, or after its cancelling.

Cause: an instance that stands still after it has stored a job announces it when it goes on. The leader takes an announced job that it does not know for a new one, also when the job has ended meanwhile and its record has expired (status_s and a minute later).

Change: an announcement is a hint, as the leader follows the inbox; one of a job that was submitted over a minute ago is ignored.

--- a/internal/cell/leader/leader.go
+++ b/internal/cell/leader/leader.go
@@ -41,6 +41,9 @@
 	// registryMinInterval is the minimum time between two watch calls on the worker registry, so that entries are
 	// handled in batches.
 	registryMinInterval = 100 * time.Millisecond
+	// maxAnnouncementAge is the age of a job from which its announcement is ignored. One that an instance sends late, since it
+	// stood still, may be of a job that has ended and whose record has expired.
+	maxAnnouncementAge = time.Minute
 	// maxOpenStarts and maxOpenStops limit the orders that wait for an answer, so that the answers do not wait for
 	// processor time longer than the orders' timeout. A start that waits too long here is refused as late by its
 	// worker. Stops have a limit of their own, since the members of a gang must not wait for each other.
@@ -275,7 +278,7 @@
 
 // Announce adds a job that an instance has stored, or cancels the job whose cancellation it has stored.
 // It returns false while the state of the cell is being loaded; the job or cancellation is then read from
-// the inbox.
+// the inbox, as is a job that is announced late.
 func (leader *Leader) Announce(job []byte, cancelled describer.JobID) bool {
 	now := time.Now()
 	leader.mutex.Lock()
@@ -291,7 +294,7 @@
 	} else if description := leader.parseJob(describer.Item{
 		Key:   persister.JobPrefix,
 		Value: job,
-	}); description != nil {
+	}); description != nil && now.Sub(description.Submitted) < maxAnnouncementAge {
 		leader.add(now, description)
 	}
 	leader.requestPass()
